--- /dev/null
+++ b/src/knapweedcroft/core/duration_text.hpp
@@ -0,0 +1,20 @@
+#ifndef KNAPWEEDCROFT_CORE_DURATION_TEXT_HPP
+#define KNAPWEEDCROFT_CORE_DURATION_TEXT_HPP
+
+#include "knapweedcroft/core/time.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace knapweedcroft {
+
+/**
+ * @brief Parses a duration written as a decimal number and its unit, `ms` or `s`, such as `1500ms` or `2.5s`.
+ * @param text The text.
+ * @return The duration, or nothing if the text has another form, is negative or exceeds ten years.
+ */
+[[nodiscard]] std::optional<milliseconds> parseDuration(std::string_view text) noexcept;
+
+} // namespace knapweedcroft
+
+#endif
--- /dev/null
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -0,0 +1,443 @@
+#include "knapweedcroft/gateway/gateway_core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+// Both ends of a link know each other at about the same time; the second one dials only if the first one has not.
+static constexpr milliseconds secondDialDelay { 250 };
+static constexpr milliseconds redialDelay { 50 };
+static constexpr milliseconds questionInterval { 500 };
+
+[[nodiscard]] static write_log logLine(
+    log_level level, std::string event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    write_log line;
+    line.level = level;
+    line.event = std::move(event);
+    line.fields = std::move(fields);
+    return line;
+}
+
+} // namespace internal
+
+gateway_core::gateway_core(const gateway_settings& settings, const chart& upstreamChart, std::string peerAddress,
+    incarnation_id incarnation)
+    : m_settings { settings }
+    , m_peerAddress { std::move(peerAddress) }
+    , m_incarnation { incarnation }
+    , m_registry { upstreamChart, settings.upstreamSilence }
+    , m_table { std::make_shared<const entry_table>() }
+    , m_origin { settings, m_directory }
+    , m_served { settings, m_registry }
+{
+    m_directory.linked(makeHello());
+}
+
+gateway_actions gateway_core::handle(const gateway_event& event, time_point now, time_point wallNow)
+{
+    m_now = now;
+    m_wallNow = wallNow;
+    gateway_actions actions;
+    std::visit([this, &actions](const auto& typed) { on(typed, actions); }, event);
+    deliverLocally(actions);
+    return actions;
+}
+
+// Messages of this node to itself need no link; what they cause is done in the same turn.
+void gateway_core::deliverLocally(gateway_actions& actions)
+{
+    for (std::size_t position = 0; position < actions.size(); ++position) {
+        const send_to_peer* sent = std::get_if<send_to_peer>(&actions[position]);
+        if (sent == nullptr || sent->peer != m_settings.node)
+            continue;
+        const peer_message message = std::move(std::get<send_to_peer>(actions[position]).message);
+        gateway_actions caused;
+        std::visit([this, &caused](const auto& typed) { receive(m_settings.node, typed, caused); }, message);
+        actions.erase(actions.begin() + static_cast<std::ptrdiff_t>(position));
+        actions.insert(actions.begin() + static_cast<std::ptrdiff_t>(position),
+            std::make_move_iterator(caused.begin()), std::make_move_iterator(caused.end()));
+        --position;
+    }
+}
+
+// --- requests
+
+void gateway_core::on(const client_request& event, gateway_actions& actions) { m_origin.arrive(event, m_now, actions); }
+
+void gateway_core::on(const client_gone& event, gateway_actions& actions)
+{
+    m_origin.abandon(event.handle, m_now, actions);
+}
+
+void gateway_core::on(const exchange_ended& event, gateway_actions& actions)
+{
+    if (m_served.finish(event, m_now, actions))
+        announceUpstream("upstream_unreachable", actions);
+}
+
+void gateway_core::receive(const node_name& peer, const forward_request& message, gateway_actions& actions)
+{
+    m_served.receive(peer, message, m_now, actions);
+}
+
+void gateway_core::receive(const node_name& peer, const forward_answer& message, gateway_actions& actions)
+{
+    m_origin.finish(peer, message, m_now, actions);
+}
+
+void gateway_core::receive(const node_name& peer, const cancel_message& message, gateway_actions& actions)
+{
+    m_served.cancel(peer, message.id, m_now, actions);
+}
+
+// --- the upstream of this host
+
+void gateway_core::on(const announcement_received& event, gateway_actions& actions)
+{
+    const upstream_announcement& announcement = event.announcement;
+    const announcement_effect effect = m_registry.announce(announcement, m_now);
+    if (effect == announcement_effect::changed || (effect == announcement_effect::unchanged && !m_isPublished))
+        announceUpstream("upstream_changed", actions);
+    if (effect == announcement_effect::stale)
+        actions.emplace_back(internal::logLine(log_level::warning, "announcement_ignored",
+            { { "upstream", announcement.incarnation.id },
+                { "started_ms", std::to_string(announcement.incarnation.startedAt) },
+                { "sequence", std::to_string(announcement.sequence) }, { "reason", "older than what is known" } }));
+}
+
+void gateway_core::on(const leave_received& event, gateway_actions& actions)
+{
+    if (m_registry.leave(event.upstream, m_now))
+        announceUpstream("upstream_left", actions);
+}
+
+// Tells all that must know that the upstream of this host has changed.
+void gateway_core::announceUpstream(std::string_view cause, gateway_actions& actions)
+{
+    const upstream_status_message status = ownStatus();
+    m_directory.update(m_settings.node, status);
+    m_served.upstreamChanged(m_now, actions);
+    actions.emplace_back(internal::logLine(log_level::info, std::string { cause },
+        { { "upstream", status.upstream }, { "started_ms", std::to_string(status.startedAt) },
+            { "serving", status.isServing ? "true" : "false" }, { "slots", std::to_string(status.load.slots) } }));
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (item.second.isLinked && item.first != m_settings.node)
+            actions.emplace_back(send_to_peer { item.first, status });
+    }
+    if (!m_registry.present())
+        return;
+    m_isPublished = true;
+    actions.emplace_back(publish_record { ownRecord() });
+}
+
+upstream_status_message gateway_core::ownStatus() const
+{
+    upstream_status_message status;
+    status.catalogueVersion = m_table->version();
+    status.load = m_served.load();
+    if (!m_registry.present())
+        return status;
+    status.upstream = m_registry.present()->incarnation.id;
+    status.startedAt = m_registry.present()->incarnation.startedAt;
+    status.isServing = m_registry.isServing() && !m_isStopping;
+    status.warmUpLeft = m_registry.warmUpLeft(m_now);
+    status.load.slots = m_registry.present()->slots;
+    return status;
+}
+
+directory_record gateway_core::ownRecord() const
+{
+    directory_record record;
+    record.node = m_settings.node;
+    record.peerAddress = m_peerAddress;
+    record.data_centre = m_settings.data_centre;
+    record.writtenAt = m_wallNow.sinceEpoch().whole();
+    record.upstream = *m_registry.present();
+    record.upstream.service = m_settings.service;
+    record.upstream.state = m_registry.isServing() ? upstream_state::serving : upstream_state::draining;
+    return record;
+}
+
+// --- the catalogue and the directory
+
+void gateway_core::on(const catalogue_read& event, gateway_actions& actions)
+{
+    useTable(event.table, "store", actions);
+}
+
+void gateway_core::useTable(
+    std::shared_ptr<const entry_table> table, std::string_view origin, gateway_actions& actions)
+{
+    if (table->version() <= m_table->version())
+        return;
+    m_table = table;
+    m_origin.setTable(table);
+    actions.emplace_back(apply_limits { table->limits() });
+    actions.emplace_back(internal::logLine(log_level::info, "catalogue_change",
+        { { "version", std::to_string(table->version()) }, { "entries", std::to_string(table->entries().size()) },
+            { "from", std::string { origin } } }));
+}
+
+void gateway_core::on(const directory_read& event, gateway_actions& actions)
+{
+    for (const directory_record& record : event.records)
+        useRecord(record, actions);
+    for (const node_name& node : event.withdrawn) {
+        m_directory.withdraw(node);
+        if (m_directory.find(node) == nullptr) {
+            m_dials.erase(node);
+            actions.emplace_back(close_link { node });
+        }
+    }
+    m_isDirectoryRead = m_isDirectoryRead || event.isComplete;
+}
+
+void gateway_core::useRecord(const directory_record& record, gateway_actions& actions)
+{
+    if (record.node == m_settings.node) {
+        assumeUpstream(record, actions);
+        return;
+    }
+    if (!m_directory.apply(record))
+        return;
+    actions.emplace_back(internal::logLine(log_level::info, "directory_change",
+        { { "node", record.node }, { "service", record.upstream.service },
+            { "upstream", record.upstream.incarnation.id }, { "address", record.peerAddress } }));
+    m_origin.upstreamReplaced(record.node);
+    scheduleDial(record.node, m_settings.node < record.node ? milliseconds {} : internal::secondDialDelay);
+}
+
+// An earlier process of this node wrote which upstream it stood beside. The upstream refuses requests that name
+// another identifier, so a wrong guess does no harm.
+void gateway_core::assumeUpstream(const directory_record& record, gateway_actions& actions)
+{
+    const bool isOwn = record.upstream.service == m_settings.service
+        && record.upstream.address == m_settings.upstreamAddress
+        && record.upstream.state == upstream_state::serving;
+    if (!isOwn || !m_registry.assume(record.upstream, m_now))
+        return;
+    m_isPublished = true;
+    const upstream_status_message status = ownStatus();
+    m_directory.update(m_settings.node, status);
+    m_served.upstreamChanged(m_now, actions);
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (item.second.isLinked && item.first != m_settings.node)
+            actions.emplace_back(send_to_peer { item.first, status });
+    }
+    actions.emplace_back(internal::logLine(log_level::info, "upstream_assumed",
+        { { "upstream", status.upstream }, { "written_ms", std::to_string(record.writtenAt) } }));
+}
+
+void gateway_core::on(const store_availability_changed& event, gateway_actions& actions)
+{
+    m_isStoreAvailable = event.isAvailable;
+    if (event.isAvailable)
+        m_nextQuestion.reset();
+    else
+        m_nextQuestion = m_now;
+    actions.emplace_back(internal::logLine(log_level::warning, event.isAvailable ? "store_regained" : "store_lost",
+        { { "catalogue", std::to_string(m_table->version()) } }));
+}
+
+void gateway_core::on(const retry_bound_set& event, gateway_actions&) { m_origin.configureRetries(event.settings); }
+
+void gateway_core::on(const stop_requested&, gateway_actions& actions)
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_served.startDraining();
+    const upstream_status_message status = ownStatus();
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (item.second.isLinked && item.first != m_settings.node)
+            actions.emplace_back(send_to_peer { item.first, status });
+    }
+    // The record of a living upstream lets the next process of this node serve it at once.
+    if (m_isPublished && !m_registry.isServing())
+        actions.emplace_back(withdraw_record {});
+    actions.emplace_back(internal::logLine(log_level::info, "stop_started",
+        { { "pending", std::to_string(m_origin.pendingCount()) },
+            { "running", std::to_string(m_served.load().running) } }));
+}
+
+// --- links
+
+void gateway_core::scheduleDial(const node_name& node, milliseconds delay)
+{
+    const known_node* known = m_directory.find(node);
+    if (known == nullptr || known->isLinked || known->record.peerAddress.empty())
+        return;
+    m_dials[node] = m_now + delay;
+}
+
+void gateway_core::dial(gateway_actions& actions)
+{
+    for (auto position = m_dials.begin(); position != m_dials.end();) {
+        if (m_now < position->second) {
+            ++position;
+            continue;
+        }
+        const known_node* known = m_directory.find(position->first);
+        if (known != nullptr && !known->isLinked)
+            actions.emplace_back(open_link { position->first, known->record.peerAddress });
+        position = m_dials.erase(position);
+    }
+}
+
+void gateway_core::on(const link_opened& event, gateway_actions& actions)
+{
+    const hello_message& hello = event.hello;
+    m_directory.linked(hello);
+    m_dials.erase(hello.node);
+    actions.emplace_back(send_to_peer { hello.node, ownStatus() });
+    const bool isBehind = m_table->version() < hello.catalogueOffset;
+    if (isBehind || !m_isDirectoryRead)
+        actions.emplace_back(send_to_peer { hello.node, catch_up_request_message { m_table->version(), -1 } });
+}
+
+void gateway_core::on(const link_closed& event, gateway_actions& actions)
+{
+    m_directory.unlinked(event.peer);
+    m_origin.linkLost(event, m_now, actions);
+    m_served.peerLost(event.peer, m_now, actions);
+    scheduleDial(event.peer, internal::redialDelay);
+}
+
+void gateway_core::on(const message_received& event, gateway_actions& actions)
+{
+    std::visit([this, &event, &actions](const auto& typed) { receive(event.peer, typed, actions); }, event.message);
+}
+
+void gateway_core::receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions)
+{
+    if (m_directory.update(peer, message)) {
+        m_origin.upstreamReplaced(peer);
+        actions.emplace_back(internal::logLine(log_level::info, "peer_upstream_changed",
+            { { "node", peer }, { "upstream", message.upstream },
+                { "serving", message.isServing ? "true" : "false" } }));
+    }
+    if (m_table->version() < message.catalogueVersion)
+        actions.emplace_back(send_to_peer { peer, catch_up_request_message { m_table->version(), -1 } });
+}
+
+void gateway_core::receive(const node_name& peer, const catch_up_request_message& message, gateway_actions& actions)
+{
+    catch_up_message answer;
+    if (message.catalogueOffset < m_table->version())
+        answer.catalogue = m_table->format();
+    answer.membership = m_directory.format();
+    actions.emplace_back(send_to_peer { peer, std::move(answer) });
+}
+
+void gateway_core::receive(const node_name& peer, const catch_up_message& message, gateway_actions& actions)
+{
+    if (!message.catalogue.empty()) {
+        result<entry_table> table = entry_table::parse(message.catalogue);
+        if (hasValue(table))
+            useTable(std::make_shared<const entry_table>(valueOf(std::move(table))), peer, actions);
+        else
+            actions.emplace_back(internal::logLine(log_level::warning, "snapshot_refused",
+                { { "peer", peer }, { "reason", errorOf(table).message } }));
+    }
+    const result<std::vector<directory_record>> records = node_directory::parseAll(message.membership);
+    if (!hasValue(records)) {
+        actions.emplace_back(internal::logLine(
+            log_level::warning, "snapshot_refused", { { "peer", peer }, { "reason", errorOf(records).message } }));
+        return;
+    }
+    for (const directory_record& record : valueOf(records))
+        useRecord(record, actions);
+    m_isDirectoryRead = true;
+}
+
+// While the store does not answer, linked peers tell what they have learned; one of the own data centre is asked first.
+void gateway_core::askPeers(gateway_actions& actions)
+{
+    if (!m_nextQuestion || m_now < *m_nextQuestion)
+        return;
+    m_nextQuestion = m_now + internal::questionInterval;
+    const known_node* chosen = nullptr;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        const known_node& known = item.second;
+        if (!known.isLinked || item.first == m_settings.node)
+            continue;
+        const bool isOwn = known.record.data_centre == m_settings.data_centre;
+        if (chosen == nullptr || (isOwn && chosen->record.data_centre != m_settings.data_centre))
+            chosen = &known;
+    }
+    if (chosen != nullptr)
+        actions.emplace_back(
+            send_to_peer { chosen->record.node, catch_up_request_message { m_table->version(), -1 } });
+}
+
+// --- time and state
+
+void gateway_core::on(const timer_fired&, gateway_actions& actions)
+{
+    m_origin.poll(m_now, actions);
+    m_served.poll(m_now, actions);
+    if (m_registry.poll(m_now))
+        announceUpstream("upstream_silent", actions);
+    dial(actions);
+    askPeers(actions);
+}
+
+std::optional<time_point> gateway_core::nextWakeup() const
+{
+    constexpr milliseconds silenceCheck { 500 };
+    time_point next = m_now + silenceCheck;
+    if (const std::optional<time_point> origin = m_origin.nextWakeup())
+        next = std::min(next, *origin);
+    if (const std::optional<time_point> served = m_served.nextWakeup(m_now))
+        next = std::min(next, *served);
+    for (const std::pair<const node_name, time_point>& item : m_dials)
+        next = std::min(next, item.second);
+    if (m_nextQuestion)
+        next = std::min(next, *m_nextQuestion);
+    return next;
+}
+
+hello_message gateway_core::makeHello() const
+{
+    hello_message hello;
+    hello.node = m_settings.node;
+    hello.incarnation = m_incarnation;
+    hello.service = m_settings.service;
+    hello.data_centre = m_settings.data_centre;
+    hello.peerAddress = m_peerAddress;
+    hello.catalogueOffset = m_table ? m_table->version() : -1;
+    return hello;
+}
+
+bool gateway_core::isReady() const { return !m_isStopping && m_table->version() >= 0 && m_isDirectoryRead; }
+
+nlohmann::json gateway_core::describe() const
+{
+    const origin_request_counters& origin = m_origin.counters();
+    const served_request_counters& served = m_served.counters();
+    const upstream_load load = m_served.load();
+    std::size_t linked = 0;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes())
+        linked += item.second.isLinked ? 1U : 0U;
+    return { { "node", m_settings.node }, { "catalogue_version", m_table->version() }, { "ready", isReady() },
+        { "store_available", m_isStoreAvailable }, { "linked_nodes", linked },
+        { "known_nodes", m_directory.nodes().size() },
+        { "upstream",
+            { { "id", m_registry.present() ? m_registry.present()->incarnation.id : std::string {} },
+                { "serving", m_registry.isServing() }, { "running", load.running }, { "queued", load.queued },
+                { "slots", load.slots }, { "service_time_ms", load.serviceTime.count() } } },
+        { "origin_requests",
+            { { "received", origin.received }, { "answered", origin.answered }, { "refused", origin.refused },
+                { "failed", origin.failed }, { "timed_out", origin.timedOut }, { "abandoned", origin.abandoned },
+                { "rerouted", origin.rerouted }, { "repeated", origin.repeated }, { "crossed", origin.crossed } } },
+        { "served_requests",
+            { { "received", served.received }, { "started", served.started }, { "answered", served.answered },
+                { "refused", served.refused }, { "shed", served.shed }, { "failed", served.failed },
+                { "cancelled", served.cancelled } } } };
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -0,0 +1,305 @@
+#include "knapweedcroft/gateway/gateway_runtime.hpp"
+
+#include "knapweedcroft/core/hash.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+static constexpr milliseconds tickInterval { 100 };
+static constexpr milliseconds shortestStall { 150 }; // A shorter gap between ticks is ordinary scheduling.
+// Bytes that arrived during a stall are read within this time after it.
+static constexpr milliseconds stallReadTime { 200 };
+// Two health checks in a row, one a second, take a node out of its clients' rotation.
+static constexpr milliseconds rotationTime { 2300 };
+static constexpr milliseconds exitMargin { 400 };
+
+[[nodiscard]] static peer_hub_settings hubSettings(const gateway_settings& settings)
+{
+    peer_hub_settings hub;
+    hub.seed = hash64(settings.node, settings.seed + 1);
+    return hub;
+}
+
+[[nodiscard]] static opaque_response ownResponse(
+    int status, std::string_view kind, std::string_view message, milliseconds retryAfter)
+{
+    const http_response error = errorResponse(status, kind, message);
+    opaque_response response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", error.contentType);
+    if (milliseconds {} < retryAfter) {
+        std::ostringstream seconds;
+        seconds.precision(3);
+        seconds << std::fixed << retryAfter.count() / 1000.0;
+        response.headers.emplace_back("Retry-After", seconds.str());
+    }
+    response.body = error.body;
+    return response;
+}
+
+[[nodiscard]] static std::string peerAddress(const gateway_program_settings& settings)
+{
+    return settings.peers.host + ":" + std::to_string(settings.peers.port);
+}
+
+static void flatten(const nlohmann::json& value, const std::string& prefix, std::string& text)
+{
+    for (const auto& item : value.items()) {
+        const std::string name = prefix + "_" + item.key();
+        if (item.value().is_object())
+            flatten(item.value(), name, text);
+        else if (item.value().is_boolean())
+            text.append(name).append(item.value().get<bool>() ? " 1\n" : " 0\n");
+        else if (item.value().is_number())
+            text.append(name).append(" ").append(item.value().dump()).append("\n");
+    }
+}
+
+} // namespace internal
+
+gateway_runtime::gateway_runtime(event_loop& loop, const gateway_program_settings& settings, const chart_set& charts,
+    gateway_boundary boundary, incarnation_id incarnation)
+    : m_loop { loop }
+    , m_settings { settings }
+    , m_boundary { std::move(boundary) }
+    , m_clock { system_time_source {} }
+    , m_log { "gateway" }
+    , m_core { settings.gateway, charts.upstream, internal::peerAddress(settings), incarnation }
+    , m_server { loop, pipelined_server_limits {},
+        { [this](std::uint64_t number, opaque_request request) { onRequest(number, std::move(request)); },
+            [this](std::uint64_t number) {
+                m_calls.erase(number);
+                handle(client_gone { number });
+            },
+            [](const parse_fault& fault) {
+                return internal::ownResponse(fault.status, "invalid_request", fault.message, {});
+            } } }
+    , m_upstream { loop, exchange_client_settings {} }
+    , m_hub { loop, settings.gateway.node, charts.peerLink, internal::hubSettings(settings.gateway),
+        { [this] { return m_core.makeHello(); }, [this](node_event event) { deliver(std::move(event)); },
+            [this](const write_log& line) { m_log.write(line); } } }
+    , m_metricsServer { loop, http_server_settings {} }
+    , m_wakeup { loop, [this] { handle(timer_fired {}); } }
+    , m_tickTimer { loop, [this] { tick(); } }
+    , m_lastTick { m_clock.now() }
+{
+    m_tickTimer.start(internal::tickInterval);
+}
+
+result<std::string> gateway_runtime::listen()
+{
+    const result<std::string> peers = m_hub.listen(m_settings.peers.host, m_settings.peers.port);
+    if (!hasValue(peers))
+        return peers;
+    if (m_settings.metrics) {
+        m_metricsServer.route(http_method::get, "/metrics", [this](std::uint64_t id, const http_request&) {
+            http_response response;
+            response.contentType = "text/plain; charset=utf-8";
+            response.body = formatMetrics();
+            m_metricsServer.answer(id, response);
+        });
+        const result<std::string> metrics
+            = m_metricsServer.listen(m_settings.metrics->host, m_settings.metrics->port);
+        if (!hasValue(metrics))
+            return metrics;
+    }
+    return m_server.listen(m_settings.clients.host, m_settings.clients.port);
+}
+
+void gateway_runtime::handle(const gateway_event& event)
+{
+    gateway_actions actions = m_core.handle(event, m_clock.now(), m_clock.wallNow());
+    for (gateway_action& action : actions)
+        perform(action);
+    schedule();
+}
+
+void gateway_runtime::schedule()
+{
+    if (const std::optional<time_point> next = m_core.nextWakeup())
+        m_wakeup.start(*next - m_clock.now());
+}
+
+// After a stall of this process, what is read at first has waited since then, and so has less time left than it says.
+milliseconds gateway_runtime::stallAllowance() const
+{
+    const time_point now = m_clock.now();
+    const milliseconds gap = now - m_lastTick - internal::tickInterval;
+    if (gap > internal::shortestStall)
+        return gap;
+    return now < m_stallEnd ? m_stall : milliseconds {};
+}
+
+void gateway_runtime::tick()
+{
+    const time_point now = m_clock.now();
+    const milliseconds gap = now - m_lastTick - internal::tickInterval;
+    if (gap > internal::shortestStall) {
+        m_stall = gap;
+        m_stallEnd = now + internal::stallReadTime;
+        m_log.write(log_level::warning, "process_stalled", { { "for_ms", std::to_string(gap.whole()) } });
+    }
+    m_lastTick = now;
+    m_tickTimer.start(internal::tickInterval);
+    if (m_isStopping)
+        checkStop();
+}
+
+void gateway_runtime::deliver(node_event event)
+{
+    if (message_received* received = std::get_if<message_received>(&event)) {
+        if (forward_request* request = std::get_if<forward_request>(&received->message)) {
+            const milliseconds allowance = stallAllowance();
+            request->deadline = request->deadline - allowance;
+            request->target = request->target - allowance;
+        }
+        handle(std::move(*received));
+    } else if (link_opened* opened = std::get_if<link_opened>(&event)) {
+        handle(std::move(*opened));
+    } else if (link_closed* closed = std::get_if<link_closed>(&event)) {
+        handle(std::move(*closed));
+    }
+}
+
+void gateway_runtime::onRequest(std::uint64_t number, opaque_request request)
+{
+    std::variant<client_request, opaque_response> read = m_boundary.readRequest(number, std::move(request));
+    if (const opaque_response* refusal = std::get_if<opaque_response>(&read)) {
+        m_server.answer(number, *refusal);
+        return;
+    }
+    client_request& event = std::get<client_request>(read);
+    if (event.deadline)
+        event.deadline = *event.deadline - stallAllowance();
+    m_calls.emplace(number, client_call { m_clock.now() });
+    handle(std::move(event));
+}
+
+void gateway_runtime::perform(gateway_action& action)
+{
+    std::visit([this](auto& typed) { perform(typed); }, action);
+}
+
+void gateway_runtime::perform(answer_client& action)
+{
+    const auto position = m_calls.find(action.handle);
+    if (position != m_calls.end()) {
+        const bool isOwn = std::holds_alternative<own_answer>(action.answer);
+        m_metrics.record(isOwn ? "own_answer_latency" : "answer_latency", m_clock.now() - position->second.arrival);
+        m_calls.erase(position);
+    }
+    if (const opaque_response* response = std::get_if<opaque_response>(&action.answer)) {
+        m_server.answer(action.handle, *response);
+        return;
+    }
+    const own_answer& own = std::get<own_answer>(action.answer);
+    m_metrics.count("own_answers_" + own.kind);
+    m_server.answer(action.handle, internal::ownResponse(own.status, own.kind, own.message, own.retryAfter));
+}
+
+void gateway_runtime::perform(start_exchange& action)
+{
+    const std::uint64_t id = action.id;
+    const std::uint64_t exchange = m_upstream.start(
+        action.address, m_boundary.makeUpstreamRequest(action),
+        [this, requestId = action.requestId](const opaque_response& response) {
+            return m_boundary.isAnswerTo(requestId, response);
+        },
+        [this, id](exchange_outcome outcome) {
+            m_exchanges.erase(id);
+            exchange_ended event;
+            event.id = id;
+            if (opaque_response* response = std::get_if<opaque_response>(&outcome))
+                event.outcome = m_boundary.readUpstreamResponse(std::move(*response));
+            else
+                event.outcome = std::get<exchange_failure>(outcome);
+            handle(std::move(event));
+        });
+    m_exchanges.emplace(id, exchange);
+}
+
+void gateway_runtime::perform(cancel_exchange& action)
+{
+    const auto position = m_exchanges.find(action.id);
+    if (position == m_exchanges.end())
+        return;
+    m_upstream.cancel(position->second);
+    m_exchanges.erase(position);
+}
+
+void gateway_runtime::perform(publish_record& action) { m_boundary.publish(action.record); }
+
+void gateway_runtime::perform(withdraw_record&) { m_boundary.withdraw(); }
+
+void gateway_runtime::perform(apply_limits& action)
+{
+    pipelined_server_limits limits;
+    limits.message.maxHeaderBytes = action.limits.maxHeaderBytes;
+    limits.message.maxBodyBytes = action.limits.maxBodyBytes;
+    limits.headerTime = action.limits.headerTime;
+    limits.idleTime = action.limits.idleTime;
+    m_server.setLimits(limits);
+}
+
+void gateway_runtime::perform(send_to_peer& action) { m_hub.send(action); }
+
+void gateway_runtime::perform(open_link& action) { m_hub.open(action); }
+
+void gateway_runtime::perform(close_link& action) { m_hub.close(action); }
+
+void gateway_runtime::perform(write_log& action) { m_log.write(action); }
+
+void gateway_runtime::stop()
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    const time_point now = m_clock.now();
+    m_stopDeadline = now + m_settings.grace - internal::exitMargin;
+    m_idleCloseAt = now + internal::rotationTime;
+    m_server.startDraining();
+    handle(stop_requested {});
+}
+
+void gateway_runtime::checkStop()
+{
+    const time_point now = m_clock.now();
+    const bool isOutOfRotation = m_idleCloseAt <= now;
+    if (isOutOfRotation)
+        m_server.closeIdle();
+    const bool isDone = isOutOfRotation && m_core.isIdle() && m_server.connectionCount() == 0;
+    if (!isDone && now < m_stopDeadline)
+        return;
+    m_log.write(log_level::info, "stopped", { { "unanswered", std::to_string(m_server.pendingCount()) } });
+    m_loop.stop();
+}
+
+void gateway_runtime::reload(const gateway_program_settings& settings)
+{
+    m_settings.grace = settings.grace;
+    m_settings.gateway.retries = settings.gateway.retries;
+    m_log.write(log_level::info, "settings_reloaded",
+        { { "retry_ratio", std::to_string(settings.gateway.retries.ratio) },
+            { "retry_slack", std::to_string(settings.gateway.retries.slack) } });
+    handle(retry_bound_set { settings.gateway.retries });
+}
+
+std::string gateway_runtime::formatMetrics() const
+{
+    nlohmann::json values = m_core.describe();
+    values["client"] = { { "connections", m_server.connectionCount() }, { "pending", m_server.pendingCount() },
+        { "held_bytes", m_server.heldBytes() } };
+    values["exchanges"] = { { "connections_opened", m_upstream.counters().opened },
+        { "foreign_responses", m_upstream.counters().foreign }, { "surplus_bytes", m_upstream.counters().surplus } };
+    values.update(m_metrics.describe());
+    std::string text;
+    internal::flatten(values, "knapweed", text);
+    return text;
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -0,0 +1,175 @@
+#include "knapweedcroft/gateway/node_directory.hpp"
+
+#include "knapweedcroft/core/json_reader.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+static constexpr std::int64_t mostSlots = 1'000'000;
+
+[[nodiscard]] static nlohmann::json toJson(const directory_record& record)
+{
+    const upstream_announcement& upstream = record.upstream;
+    return { { "node", record.node }, { "peer_address", record.peerAddress }, { "data_centre", record.data_centre },
+        { "written_ms", record.writtenAt }, { "service", upstream.service }, { "upstream", upstream.incarnation.id },
+        { "started_ms", upstream.incarnation.startedAt }, { "address", upstream.address },
+        { "slots", upstream.slots }, { "serving", upstream.state == upstream_state::serving } };
+}
+
+[[nodiscard]] static result<directory_record> fromJson(const nlohmann::json& object)
+{
+    json_reader reader { object, "directory record" };
+    directory_record record;
+    record.node = reader.string("node");
+    record.peerAddress = reader.string("peer_address");
+    record.data_centre = reader.string("data_centre");
+    record.writtenAt = reader.integer("written_ms", 0, INT64_MAX / 2);
+    record.upstream.service = reader.string("service");
+    record.upstream.incarnation.id = reader.string("upstream");
+    record.upstream.incarnation.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
+    record.upstream.address = reader.string("address");
+    record.upstream.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, mostSlots));
+    record.upstream.data_centre = record.data_centre;
+    record.upstream.state
+        = reader.boolean("serving", false) ? upstream_state::serving : upstream_state::draining;
+    if (const std::optional<error> fault = reader.finishLenient())
+        return *fault;
+    return record;
+}
+
+} // namespace internal
+
+std::string directory_record::format() const { return internal::toJson(*this).dump(); }
+
+result<directory_record> directory_record::parse(std::string_view text)
+{
+    const result<nlohmann::json> document = parseJson(text, "directory record");
+    if (!hasValue(document))
+        return errorOf(document);
+    return internal::fromJson(valueOf(document));
+}
+
+bool node_directory::apply(const directory_record& record)
+{
+    known_node& known = m_nodes[record.node];
+    const upstream_incarnation& before = known.record.upstream.incarnation;
+    const upstream_incarnation& after = record.upstream.incarnation;
+    const bool isOlder = after.startedAt < before.startedAt
+        || (after.startedAt == before.startedAt && record.writtenAt < known.record.writtenAt);
+    if (isOlder)
+        return false;
+    const bool isServing = record.upstream.state == upstream_state::serving;
+    const bool isChanged
+        = before != after || known.record.peerAddress != record.peerAddress || known.isServing != isServing;
+    known.record = record;
+    const bool isStatusCurrent = known.isLinked && known.status && known.status->upstream == after.id
+        && known.status->startedAt == after.startedAt;
+    // The link to a node is ahead of its record in the store.
+    if (!isStatusCurrent)
+        known.isServing = isServing;
+    return isChanged;
+}
+
+void node_directory::withdraw(const node_name& node)
+{
+    const auto position = m_nodes.find(node);
+    if (position != m_nodes.end() && !position->second.isLinked)
+        m_nodes.erase(position);
+}
+
+void node_directory::linked(const hello_message& hello)
+{
+    known_node& known = m_nodes[hello.node];
+    known.isLinked = true;
+    known.record.node = hello.node;
+    known.record.data_centre = hello.data_centre;
+    if (!hello.peerAddress.empty())
+        known.record.peerAddress = hello.peerAddress;
+    known.record.upstream.service = hello.service;
+}
+
+void node_directory::unlinked(const node_name& node)
+{
+    const auto position = m_nodes.find(node);
+    if (position == m_nodes.end())
+        return;
+    position->second.isLinked = false;
+    position->second.status.reset();
+}
+
+bool node_directory::update(const node_name& node, const upstream_status_message& status)
+{
+    const auto position = m_nodes.find(node);
+    if (position == m_nodes.end())
+        return false;
+    known_node& known = position->second;
+    upstream_incarnation& incarnation = known.record.upstream.incarnation;
+    const bool isOther = incarnation != upstream_incarnation { status.upstream, status.startedAt };
+    const bool isChanged = isOther || known.isServing != status.isServing;
+    incarnation = upstream_incarnation { status.upstream, status.startedAt };
+    known.record.upstream.slots = status.load.slots;
+    known.record.upstream.state = status.isServing ? upstream_state::serving : upstream_state::draining;
+    known.isServing = status.isServing;
+    known.status = status;
+    return isChanged;
+}
+
+void node_directory::updateLoad(const node_name& node, const upstream_load& load)
+{
+    const auto position = m_nodes.find(node);
+    if (position != m_nodes.end() && position->second.status)
+        position->second.status->load = load;
+}
+
+void node_directory::markNotServing(const node_name& node)
+{
+    const auto position = m_nodes.find(node);
+    if (position != m_nodes.end())
+        position->second.isServing = false;
+}
+
+const known_node* node_directory::find(const node_name& node) const
+{
+    const auto position = m_nodes.find(node);
+    return position == m_nodes.end() ? nullptr : &position->second;
+}
+
+std::vector<const known_node*> node_directory::nodesOf(const service_name& service) const
+{
+    std::vector<const known_node*> nodes;
+    for (const std::pair<const node_name, known_node>& item : m_nodes) {
+        if (item.second.record.upstream.service == service)
+            nodes.push_back(&item.second);
+    }
+    return nodes;
+}
+
+std::string node_directory::format() const
+{
+    nlohmann::json records = nlohmann::json::array();
+    for (const std::pair<const node_name, known_node>& item : m_nodes) {
+        if (!item.second.record.peerAddress.empty())
+            records.push_back(internal::toJson(item.second.record));
+    }
+    return records.dump();
+}
+
+result<std::vector<directory_record>> node_directory::parseAll(std::string_view text)
+{
+    const result<nlohmann::json> document = parseJson(text, "directory of a peer");
+    if (!hasValue(document))
+        return errorOf(document);
+    std::vector<directory_record> records;
+    for (const nlohmann::json& item : valueOf(document)) {
+        const result<directory_record> record = internal::fromJson(item);
+        if (!hasValue(record))
+            return errorOf(record);
+        records.push_back(valueOf(record));
+    }
+    return records;
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -0,0 +1,323 @@
+#include "knapweedcroft/gateway/origin_requests.hpp"
+
+#include <algorithm>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+static constexpr milliseconds longestWait { 60'000 }; // For a request without a deadline of its own.
+static constexpr milliseconds unknownRoom { 250 }; // When no upstream has named a time.
+static constexpr milliseconds shortestRetry { 20 };
+// Refusals cost no arrival at an upstream, but each one costs a message to another node.
+static constexpr std::size_t mostNodesTried = 3;
+static constexpr std::int64_t retryShareDivisor = 3; // Clients honour at most a third of the time that they have left.
+
+[[nodiscard]] static own_answer answerOf(int status, std::string kind, std::string message, milliseconds retryAfter)
+{
+    own_answer answer;
+    answer.status = status;
+    answer.kind = std::move(kind);
+    answer.message = std::move(message);
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+[[nodiscard]] static std::string text(milliseconds value) { return std::to_string(value.whole()); }
+
+} // namespace internal
+
+origin_requests::origin_requests(const gateway_settings& settings, node_directory& directory)
+    : m_settings { settings }
+    , m_directory { directory }
+    , m_table { std::make_shared<const entry_table>() }
+    , m_placement { settings.data_centre, settings.seed }
+    , m_allowance { settings.retries }
+    , m_jitter { settings.seed }
+{
+}
+
+void origin_requests::setTable(std::shared_ptr<const entry_table> table)
+{
+    m_table = std::move(table);
+    m_split.reset();
+}
+
+void origin_requests::arrive(const client_request& event, time_point now, gateway_actions& actions)
+{
+    ++m_counters.received;
+    const std::uint64_t id = ++m_lastId;
+    origin_request& request = m_requests[id];
+    request.handle = event.handle;
+    request.requestId = event.requestId;
+    request.arrival = now;
+    request.deadline = now + event.deadline.value_or(internal::longestWait);
+    m_ids.emplace(event.handle, id);
+    m_deadlines.emplace(request.deadline, id);
+    if (m_table->version() < 0) {
+        request.reason = refusal_reason::unknown_entry;
+        refuse(id, now, actions);
+        return;
+    }
+    request.table = m_table;
+    request.entry = m_table->find(event.host, event.request.target);
+    if (request.entry == nullptr || request.entry->services.empty()) {
+        close(id, internal::answerOf(404, "unknown_entry", "no entry of the catalogue matches host and path", {}), now,
+            actions);
+        return;
+    }
+    m_deadlines.erase({ request.deadline, id });
+    request.deadline = std::min(request.deadline, now + request.entry->timeout);
+    m_deadlines.emplace(request.deadline, id);
+    request.service = m_split.choose(*request.entry);
+    request.request = event.request;
+    m_allowance.setNodes(static_cast<std::uint32_t>(m_directory.nodes().size()) + 1);
+    m_allowance.noteFirst(request.service, now);
+    place(id, now, actions);
+}
+
+std::vector<placement_candidate> origin_requests::candidatesFor(const origin_request& request) const
+{
+    std::vector<placement_candidate> candidates;
+    for (const known_node* known : m_directory.nodesOf(request.service)) {
+        const node_name& node = known->record.node;
+        const bool isReachable = known->isLinked && known->isServing && known->status.has_value();
+        const bool isTried
+            = std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
+        if (!isReachable || isTried)
+            continue;
+        candidates.push_back(
+            { node, known->record.data_centre, known->status->load, known->status->warmUpLeft });
+    }
+    return candidates;
+}
+
+void origin_requests::place(std::uint64_t id, time_point now, gateway_actions& actions)
+{
+    origin_request& request = m_requests.at(id);
+    const std::vector<placement_candidate> candidates = candidatesFor(request);
+    const placement_request need { request.entry->name,
+        request.entry->targetLatency - (now - request.arrival) };
+    const std::optional<std::size_t> chosen = m_placement.choose(candidates, need, now);
+    if (!chosen) {
+        refuse(id, now, actions);
+        return;
+    }
+    const bool hasAlternative = candidates.size() > 1 && request.tried.size() + 1 < internal::mostNodesTried;
+    send(id, candidates[*chosen], hasAlternative, now, actions);
+}
+
+void origin_requests::send(std::uint64_t id, const placement_candidate& target, bool hasAlternative, time_point now,
+    gateway_actions& actions)
+{
+    origin_request& request = m_requests.at(id);
+    const forward_entry& entry = *request.entry;
+    request.node = target.node;
+    request.tried.push_back(target.node);
+    m_placement.sent(target.node);
+    if (target.data_centre != m_settings.data_centre)
+        ++m_counters.crossed;
+    forward_request message;
+    message.id = call_id { id };
+    message.service = request.service;
+    message.caller = m_settings.service;
+    message.entry = entry.name;
+    message.requestId = request.requestId;
+    message.rank = entry.rank;
+    message.hasAlternative = hasAlternative;
+    message.deadline = request.deadline - now;
+    message.target = entry.targetLatency - (now - request.arrival);
+    message.request = request.request;
+    actions.emplace_back(send_to_peer { target.node, std::move(message) });
+}
+
+void origin_requests::finish(
+    const node_name& peer, const forward_answer& answer, time_point now, gateway_actions& actions)
+{
+    m_directory.updateLoad(peer, answer.load);
+    const std::uint64_t id = answer.id.value();
+    const auto position = m_requests.find(id);
+    if (position == m_requests.end() || position->second.node != peer)
+        return;
+    origin_request& request = position->second;
+    const opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
+    m_placement.ended(peer, request.entry->name,
+        response == nullptr ? std::nullopt : std::optional<milliseconds> { answer.upstreamTime }, now);
+    if (response != nullptr) {
+        ++m_counters.answered;
+        constexpr int firstServerError = 500;
+        if (response->status >= firstServerError)
+            log(log_level::info, "upstream_error", request,
+                { { "status", std::to_string(response->status) }, { "node", peer } }, now, actions);
+        actions.emplace_back(answer_client { request.handle, *response });
+        remove(id);
+        return;
+    }
+    if (const forward_refusal* refusal = std::get_if<forward_refusal>(&answer.outcome))
+        takeRefusal(id, *refusal, now, actions);
+    else
+        takeFailure(id, std::get<forward_failure>(answer.outcome).message, now, actions);
+}
+
+bool origin_requests::maySendAgain(const origin_request& request, time_point now)
+{
+    return request.arrivals < request.entry->maxAttempts && now < request.deadline
+        && m_allowance.spend(request.service, now);
+}
+
+void origin_requests::takeRefusal(
+    std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions)
+{
+    origin_request& request = m_requests.at(id);
+    const bool isFirst = !(milliseconds {} < request.retryAfter);
+    request.retryAfter = isFirst ? refusal.retryAfter : std::min(request.retryAfter, refusal.retryAfter);
+    request.reason = refusal.reason;
+    const bool isGone
+        = refusal.reason == refusal_reason::draining || refusal.reason == refusal_reason::no_upstream;
+    if (isGone && request.node != m_settings.node)
+        m_directory.markNotServing(request.node);
+    if (refusal.reachedUpstream) {
+        ++request.arrivals;
+        m_placement.failed(request.node, now);
+        if (!maySendAgain(request, now)) {
+            refuse(id, now, actions);
+            return;
+        }
+        ++m_counters.repeated;
+    }
+    if (request.tried.size() >= internal::mostNodesTried) {
+        refuse(id, now, actions);
+        return;
+    }
+    ++m_counters.rerouted;
+    log(log_level::debug, "request_rerouted", request,
+        { { "reason", std::string { toString(refusal.reason) } }, { "node", request.node } }, now, actions);
+    place(id, now, actions);
+}
+
+void origin_requests::takeFailure(
+    std::uint64_t id, const std::string& cause, time_point now, gateway_actions& actions)
+{
+    origin_request& request = m_requests.at(id);
+    ++request.arrivals;
+    request.mayHaveRun = true;
+    m_placement.failed(request.node, now);
+    const bool mayRepeat = request.entry->isIdempotent && !candidatesFor(request).empty();
+    if (mayRepeat && maySendAgain(request, now)) {
+        ++m_counters.repeated;
+        log(log_level::info, "request_repeated", request, { { "cause", cause }, { "node", request.node } }, now,
+            actions);
+        place(id, now, actions);
+        return;
+    }
+    ++m_counters.failed;
+    log(log_level::info, "request_failed", request, { { "cause", cause }, { "node", request.node } }, now, actions);
+    close(id, internal::answerOf(502, "failed_after_start", "no whole answer came; it may have run", {}), now, actions);
+}
+
+void origin_requests::refuse(std::uint64_t id, time_point now, gateway_actions& actions)
+{
+    origin_request& request = m_requests.at(id);
+    if (request.mayHaveRun) {
+        ++m_counters.failed;
+        log(log_level::info, "request_failed", request, { { "cause", "no upstream for the repeat" } }, now, actions);
+        close(id, internal::answerOf(502, "failed_after_start", "no whole answer came; it may have run", {}), now,
+            actions);
+        return;
+    }
+    const milliseconds room
+        = milliseconds {} < request.retryAfter ? request.retryAfter : m_jitter.spread(internal::unknownRoom);
+    const milliseconds most = (request.deadline - now) / internal::retryShareDivisor;
+    const milliseconds retryAfter = std::max(internal::shortestRetry, std::min(room, most));
+    ++m_counters.refused;
+    log(log_level::info, "request_refused", request,
+        { { "reason", std::string { toString(request.reason) } }, { "retry_after_ms", internal::text(retryAfter) } },
+        now, actions);
+    close(id,
+        internal::answerOf(503, std::string { toString(request.reason) }, "not run; send it again later", retryAfter),
+        now, actions);
+}
+
+void origin_requests::close(std::uint64_t id, own_answer answer, time_point, gateway_actions& actions)
+{
+    actions.emplace_back(answer_client { m_requests.at(id).handle, std::move(answer) });
+    remove(id);
+}
+
+void origin_requests::remove(std::uint64_t id)
+{
+    const auto position = m_requests.find(id);
+    m_deadlines.erase({ position->second.deadline, id });
+    m_ids.erase(position->second.handle);
+    m_requests.erase(position);
+}
+
+void origin_requests::abandon(request_handle handle, time_point now, gateway_actions& actions)
+{
+    const auto position = m_ids.find(handle);
+    if (position == m_ids.end())
+        return;
+    const std::uint64_t id = position->second;
+    const origin_request& request = m_requests.at(id);
+    ++m_counters.abandoned;
+    log(log_level::debug, "request_abandoned", request, { { "node", request.node } }, now, actions);
+    m_placement.ended(request.node, request.entry->name, std::nullopt, now);
+    actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+    remove(id);
+}
+
+void origin_requests::linkLost(const link_closed& event, time_point now, gateway_actions& actions)
+{
+    std::vector<std::uint64_t> lost;
+    for (const std::pair<const std::uint64_t, origin_request>& item : m_requests) {
+        if (item.second.node == event.peer)
+            lost.push_back(item.first);
+    }
+    std::sort(lost.begin(), lost.end());
+    for (const std::uint64_t id : lost) {
+        const bool isUnwritten
+            = std::find(event.unwritten.begin(), event.unwritten.end(), call_id { id }) != event.unwritten.end();
+        m_placement.ended(event.peer, m_requests.at(id).entry->name, std::nullopt, now);
+        if (isUnwritten)
+            takeRefusal(id, forward_refusal { refusal_reason::no_upstream, internal::unknownRoom, false }, now, actions);
+        else
+            takeFailure(id, "the link to the node closed", now, actions);
+    }
+}
+
+void origin_requests::poll(time_point now, gateway_actions& actions)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const std::uint64_t id = m_deadlines.begin()->second;
+        const origin_request& request = m_requests.at(id);
+        ++m_counters.timedOut;
+        log(log_level::info, "request_timed_out", request, { { "node", request.node } }, now, actions);
+        m_placement.ended(request.node, request.entry->name, std::nullopt, now);
+        actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+        close(id, internal::answerOf(504, "timed_out", "no answer in time; it may have run", {}), now, actions);
+    }
+}
+
+std::optional<time_point> origin_requests::nextWakeup() const
+{
+    if (m_deadlines.empty())
+        return std::nullopt;
+    return m_deadlines.begin()->first;
+}
+
+void origin_requests::log(log_level level, std::string event, const origin_request& request,
+    std::vector<std::pair<std::string, std::string>> fields, time_point now, gateway_actions& actions) const
+{
+    write_log line;
+    line.level = level;
+    line.event = std::move(event);
+    line.fields = std::move(fields);
+    line.fields.emplace_back("request", request.requestId);
+    line.fields.emplace_back("entry", request.entry == nullptr ? "" : request.entry->name);
+    line.fields.emplace_back("age_ms", internal::text(now - request.arrival));
+    line.fields.emplace_back("left_ms", internal::text(request.deadline - now));
+    line.fields.emplace_back("catalogue", std::to_string(m_table->version()));
+    actions.emplace_back(std::move(line));
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -0,0 +1,220 @@
+#include "knapweedcroft/gateway/served_requests.hpp"
+
+#include <algorithm>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+static constexpr milliseconds unavailableRetry { 300 }; // An upstream that restarts announces itself within this time.
+
+} // namespace internal
+
+served_requests::served_requests(const gateway_settings& settings, upstream_registry& registry)
+    : m_settings { settings }
+    , m_registry { registry }
+    , m_queue { settings.seed }
+{
+}
+
+std::optional<refusal_reason> served_requests::immediateRefusal(
+    const node_name& peer, const forward_request& message) const
+{
+    if (message.service != m_settings.service)
+        return refusal_reason::no_upstream;
+    if (m_isDraining && peer != m_settings.node)
+        return refusal_reason::draining;
+    if (m_registry.isServing())
+        return std::nullopt;
+    return m_registry.state() == upstream_chart_state::draining ? refusal_reason::draining
+                                                                : refusal_reason::no_upstream;
+}
+
+void served_requests::receive(
+    const node_name& peer, const forward_request& message, time_point now, gateway_actions& actions)
+{
+    ++m_counters.received;
+    const std::uint64_t id = ++m_lastId;
+    served_request request;
+    request.peer = peer;
+    request.message = message;
+    request.deadline = now + message.deadline;
+    m_requests.emplace(id, std::move(request));
+    m_ids.emplace(std::make_pair(peer, message.id), id);
+    if (const std::optional<refusal_reason> reason = immediateRefusal(peer, message)) {
+        refuse(id, forward_refusal { *reason, internal::unavailableRetry, false }, actions);
+        return;
+    }
+    slot_request slot;
+    slot.id = id;
+    slot.entry = message.entry;
+    slot.rank = message.rank;
+    slot.isInvested = message.isInvested;
+    slot.hasAlternative = message.hasAlternative;
+    slot.target = now + message.target;
+    slot.deadline = now + message.deadline;
+    apply(m_queue.offer(slot, now), now, actions);
+}
+
+void served_requests::apply(const slot_decisions& decisions, time_point now, gateway_actions& actions)
+{
+    for (const slot_decision& decision : decisions) {
+        if (const start_request* started = std::get_if<start_request>(&decision)) {
+            start(started->id, now, actions);
+            continue;
+        }
+        const refuse_request& refused = std::get<refuse_request>(decision);
+        refuse(refused.id, forward_refusal { refused.reason, refused.retryAfter, false }, actions);
+    }
+}
+
+void served_requests::start(std::uint64_t id, time_point now, gateway_actions& actions)
+{
+    served_request& request = m_requests.at(id);
+    const upstream_announcement& upstream = *m_registry.present();
+    ++m_counters.started;
+    request.startedAt = now;
+    request.upstream = upstream.incarnation.id;
+    start_exchange action;
+    action.id = id;
+    action.address = m_settings.upstreamAddress;
+    action.upstream = request.upstream;
+    action.caller = request.message.caller;
+    action.requestId = request.message.requestId;
+    action.deadline = request.deadline - now;
+    action.request = std::move(request.message.request);
+    actions.emplace_back(std::move(action));
+}
+
+void served_requests::refuse(std::uint64_t id, const forward_refusal& refusal, gateway_actions& actions)
+{
+    const auto position = m_requests.find(id);
+    if (position == m_requests.end())
+        return;
+    const served_request request = std::move(position->second);
+    m_requests.erase(position);
+    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    ++m_counters.refused;
+    log("request_turned_away", request,
+        { { "reason", std::string { toString(refusal.reason) } }, { "queued", std::to_string(m_queue.load().queued) },
+            { "running", std::to_string(m_queue.load().running) } },
+        actions);
+    answer(request, refusal, time_point {}, actions);
+}
+
+void served_requests::answer(
+    const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const
+{
+    forward_answer message;
+    message.id = request.message.id;
+    message.outcome = std::move(outcome);
+    message.load = m_queue.load();
+    if (request.startedAt)
+        message.upstreamTime = now - *request.startedAt;
+    actions.emplace_back(send_to_peer { request.peer, std::move(message) });
+}
+
+void served_requests::drop(std::uint64_t id, time_point now, gateway_actions& actions)
+{
+    const auto position = m_requests.find(id);
+    if (position == m_requests.end())
+        return;
+    const served_request request = std::move(position->second);
+    m_requests.erase(position);
+    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    ++m_counters.cancelled;
+    if (request.startedAt)
+        actions.emplace_back(cancel_exchange { id });
+    apply(m_queue.release(id, false, now), now, actions);
+}
+
+void served_requests::cancel(const node_name& peer, call_id id, time_point now, gateway_actions& actions)
+{
+    const auto position = m_ids.find(std::make_pair(peer, id));
+    if (position != m_ids.end())
+        drop(position->second, now, actions);
+}
+
+void served_requests::peerLost(const node_name& peer, time_point now, gateway_actions& actions)
+{
+    std::vector<std::uint64_t> lost;
+    for (const std::pair<const std::uint64_t, served_request>& item : m_requests) {
+        if (item.second.peer == peer)
+            lost.push_back(item.first);
+    }
+    std::sort(lost.begin(), lost.end());
+    for (const std::uint64_t id : lost)
+        drop(id, now, actions);
+}
+
+forward_outcome served_requests::outcomeOf(
+    const served_request& request, const upstream_response& response, gateway_actions& actions)
+{
+    if (!response.isNotRun) {
+        ++m_counters.answered;
+        return response.response;
+    }
+    ++m_counters.shed;
+    log("request_shed", request, { { "status", std::to_string(response.response.status) } }, actions);
+    const refusal_reason reason
+        = response.isOtherUpstream ? refusal_reason::no_upstream : refusal_reason::upstream_shed;
+    return forward_refusal { reason, m_queue.expectedRoom(), !response.isOtherUpstream };
+}
+
+forward_outcome served_requests::outcomeOf(
+    const served_request& request, const exchange_failure& failure, gateway_actions& actions)
+{
+    log("exchange_failed", request,
+        { { "cause", failure.cause.message }, { "written", failure.wasWritten ? "true" : "false" } }, actions);
+    if (!failure.wasWritten)
+        return forward_refusal { refusal_reason::no_upstream, internal::unavailableRetry, false };
+    ++m_counters.failed;
+    return forward_failure { failure.cause.message };
+}
+
+bool served_requests::finish(const exchange_ended& event, time_point now, gateway_actions& actions)
+{
+    const auto position = m_requests.find(event.id);
+    if (position == m_requests.end())
+        return false;
+    const served_request request = std::move(position->second);
+    m_requests.erase(position);
+    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    const upstream_response* response = std::get_if<upstream_response>(&event.outcome);
+    const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
+    forward_outcome outcome = response != nullptr ? outcomeOf(request, *response, actions)
+                                                  : outcomeOf(request, *failure, actions);
+    const bool isMeasured = response != nullptr && !response->isNotRun;
+    const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
+    answer(request, std::move(outcome), now, actions);
+    apply(decisions, now, actions);
+    const bool isUnreachable = failure != nullptr && !failure->wasWritten;
+    const bool isOther = response != nullptr && response->isOtherUpstream;
+    return (isUnreachable || isOther) && m_registry.missing(request.upstream);
+}
+
+void served_requests::upstreamChanged(time_point now, gateway_actions& actions)
+{
+    if (m_registry.isServing()) {
+        apply(m_queue.setSlots(m_registry.present()->slots, now), now, actions);
+        return;
+    }
+    const bool isLeaving = m_registry.state() == upstream_chart_state::draining;
+    apply(m_queue.refuseAll(isLeaving ? refusal_reason::draining : refusal_reason::no_upstream), now, actions);
+}
+
+void served_requests::poll(time_point now, gateway_actions& actions) { apply(m_queue.poll(now), now, actions); }
+
+void served_requests::log(std::string event, const served_request& request,
+    std::vector<std::pair<std::string, std::string>> fields, gateway_actions& actions) const
+{
+    write_log line;
+    line.event = std::move(event);
+    line.fields = std::move(fields);
+    line.fields.emplace_back("request", request.message.requestId);
+    line.fields.emplace_back("entry", request.message.entry);
+    line.fields.emplace_back("from", request.peer);
+    actions.emplace_back(std::move(line));
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/src/knapweedcroft/http/internal/framing.cpp
@@ -0,0 +1,92 @@
+#include "knapweedcroft/http/internal/framing.hpp"
+
+#include <event2/util.h>
+
+namespace knapweedcroft::internal {
+
+struct framing_headers {
+    std::size_t lengths = 0;
+    std::size_t codings = 0;
+    bool isChunkedLast = true;
+};
+
+[[nodiscard]] static bool isNamed(std::string_view name, std::string_view expected)
+{
+    return name.size() == expected.size() && evutil_ascii_strncasecmp(name.data(), expected.data(), name.size()) == 0;
+}
+
+[[nodiscard]] static std::string_view trimmedValue(std::string_view value)
+{
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
+        value.remove_prefix(1);
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\t'))
+        value.remove_suffix(1);
+    return value;
+}
+
+[[nodiscard]] static bool isDigits(std::string_view value)
+{
+    return !value.empty() && value.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+[[nodiscard]] static std::optional<parse_fault> checkLine(std::string_view line, framing_headers& framing)
+{
+    if (line.front() == ' ' || line.front() == '\t')
+        return parse_fault { 400, "a header line is folded; send it on one line" };
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return parse_fault { 400, "a header line has no name; send \"name: value\"" };
+    const std::string_view name = line.substr(0, colon);
+    if (name.back() == ' ' || name.back() == '\t')
+        return parse_fault { 400, "a header name ends with a blank; remove it" };
+    const std::string_view value = trimmedValue(line.substr(colon + 1));
+    if (isNamed(name, "Content-Length")) {
+        ++framing.lengths;
+        if (!isDigits(value))
+            return parse_fault { 400, "Content-Length is not one decimal number; send the body's size in bytes" };
+    }
+    if (isNamed(name, "Transfer-Encoding")) {
+        ++framing.codings;
+        framing.isChunkedLast = isNamed(value, "chunked");
+    }
+    return std::nullopt;
+}
+
+std::size_t headerEnd(std::string_view bytes)
+{
+    constexpr std::string_view emptyLine = "\r\n\r\n";
+    const std::size_t position = bytes.find(emptyLine);
+    return position == std::string_view::npos ? position : position + emptyLine.size();
+}
+
+std::optional<parse_fault> checkHeader(std::string_view header)
+{
+    framing_headers framing;
+    std::size_t start = header.find("\r\n") + 2;
+    while (start < header.size()) {
+        const std::size_t end = header.find("\r\n", start);
+        if (end == start)
+            break;
+        std::optional<parse_fault> fault = checkLine(header.substr(start, end - start), framing);
+        if (fault)
+            return fault;
+        start = end + 2;
+    }
+    if (framing.lengths > 1)
+        return parse_fault { 400, "Content-Length is sent more than once; send it once" };
+    if (framing.lengths > 0 && framing.codings > 0)
+        return parse_fault { 400, "Content-Length and Transfer-Encoding are sent together; send one of them" };
+    if (framing.codings > 1 || !framing.isChunkedLast)
+        return parse_fault { 400, "the transfer coding is not supported; send the body with a length or in chunks" };
+    return std::nullopt;
+}
+
+http_headers copyHeaders(const boost::beast::http::fields& fields)
+{
+    http_headers headers;
+    for (const boost::beast::http::fields::value_type& field : fields)
+        headers.emplace_back(std::string { field.name_string() }, std::string { field.value() });
+    return headers;
+}
+
+} // namespace knapweedcroft::internal
--- /dev/null
+++ b/src/knapweedcroft/http/request_parser.cpp
@@ -0,0 +1,83 @@
+#include "knapweedcroft/http/request_parser.hpp"
+
+#include "knapweedcroft/http/internal/framing.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <limits>
+
+namespace knapweedcroft {
+
+namespace http = boost::beast::http;
+
+struct request_parser::implementation {
+    http::request_parser<http::string_body> parser;
+    message_limits limits;
+    bool isHeaderChecked = false;
+};
+
+request_parser::request_parser(const message_limits& limits)
+    : m_implementation { std::make_unique<implementation>() }
+{
+    m_implementation->limits = limits;
+    m_implementation->parser.eager(true);
+    m_implementation->parser.body_limit(limits.maxBodyBytes);
+    // The limit is checked here, because Beast's own one does not name the status.
+    m_implementation->parser.header_limit(std::numeric_limits<std::uint32_t>::max());
+}
+
+request_parser::~request_parser() = default;
+
+std::size_t request_parser::put(std::string_view bytes)
+{
+    implementation& self = *m_implementation;
+    if (!self.isHeaderChecked) {
+        const std::size_t end = internal::headerEnd(bytes);
+        const std::size_t headerBytes = end == std::string_view::npos ? bytes.size() : end;
+        if (headerBytes > self.limits.maxHeaderBytes) {
+            m_fault = parse_fault { 431, "the header exceeds the limit in bytes; send less" };
+            return 0;
+        }
+        if (end == std::string_view::npos)
+            return 0;
+        m_fault = internal::checkHeader(bytes.substr(0, end));
+        if (m_fault)
+            return 0;
+        self.isHeaderChecked = true;
+    }
+    boost::system::error_code failure;
+    const std::size_t used = self.parser.put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
+    if (failure == http::error::body_limit)
+        m_fault = parse_fault { 413, "the body exceeds the limit in bytes; send less" };
+    else if (failure && failure != http::error::need_more)
+        m_fault = parse_fault { 400, "not a valid HTTP/1.1 request: " + failure.message() };
+    return used;
+}
+
+bool request_parser::isHeaderDone() const { return m_implementation->parser.is_header_done(); }
+
+bool request_parser::isDone() const { return m_implementation->parser.is_done(); }
+
+bool request_parser::expectsContinue() const
+{
+    const boost::beast::string_view value = m_implementation->parser.get()[http::field::expect];
+    return isHeaderDone() && hasToken({ value.data(), value.size() }, "100-continue");
+}
+
+bool request_parser::isKeepAlive() const { return m_implementation->parser.keep_alive(); }
+
+opaque_request request_parser::take()
+{
+    http::request<http::string_body> message = m_implementation->parser.release();
+    opaque_request request;
+    request.method = std::string { message.method_string() };
+    request.target = std::string { message.target() };
+    request.headers = withoutHopByHop(internal::copyHeaders(message));
+    removeHeader(request.headers, "Expect");
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/src/knapweedcroft/http/response_parser.cpp
@@ -0,0 +1,109 @@
+#include "knapweedcroft/http/response_parser.hpp"
+
+#include "knapweedcroft/http/internal/framing.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <charconv>
+#include <limits>
+
+namespace knapweedcroft {
+
+namespace http = boost::beast::http;
+
+struct response_parser::implementation {
+    http::response_parser<http::string_body> parser;
+    bool isHeaderChecked = false;
+};
+
+response_parser::response_parser(const message_limits& limits, bool toHead)
+    : m_limits { limits }
+    , m_toHead { toHead }
+{
+    start();
+}
+
+response_parser::~response_parser() = default;
+
+void response_parser::start()
+{
+    m_implementation = std::make_unique<implementation>();
+    m_implementation->parser.eager(true);
+    m_implementation->parser.skip(m_toHead);
+    m_implementation->parser.body_limit(m_limits.maxBodyBytes);
+    m_implementation->parser.header_limit(std::numeric_limits<std::uint32_t>::max());
+}
+
+std::size_t response_parser::put(std::string_view bytes)
+{
+    if (!m_implementation->isHeaderChecked) {
+        const std::size_t end = internal::headerEnd(bytes);
+        if ((end == std::string_view::npos ? bytes.size() : end) > m_limits.maxHeaderBytes) {
+            m_fault = parse_fault { 502, "the header of the response is too large" };
+            return 0;
+        }
+        if (end == std::string_view::npos)
+            return 0;
+        m_fault = internal::checkHeader(bytes.substr(0, end));
+        if (m_fault)
+            return 0;
+        m_implementation->isHeaderChecked = true;
+    }
+    boost::system::error_code failure;
+    const std::size_t used = m_implementation->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
+    if (failure && failure != http::error::need_more) {
+        m_fault = parse_fault { 502, "not a valid HTTP/1.1 response: " + failure.message() };
+        return used;
+    }
+    constexpr int firstFinalStatus = 200;
+    if (isDone() && m_implementation->parser.get().result_int() < firstFinalStatus)
+        start();
+    return used;
+}
+
+void response_parser::putEof()
+{
+    if (!m_implementation->parser.got_some()) {
+        m_fault = parse_fault { 502, "the connection ended before a response" };
+        return;
+    }
+    boost::system::error_code failure;
+    m_implementation->parser.put_eof(failure);
+    if (failure)
+        m_fault = parse_fault { 502, "the connection ended inside the response" };
+}
+
+bool response_parser::isDone() const { return m_implementation->parser.is_done(); }
+
+bool response_parser::isKeepAlive() const
+{
+    return m_implementation->parser.keep_alive() && !m_implementation->parser.need_eof();
+}
+
+std::optional<int> response_parser::keepAliveSeconds() const
+{
+    const boost::beast::string_view value = m_implementation->parser.get()[http::field::keep_alive];
+    constexpr std::string_view key = "timeout=";
+    const std::string_view text { value.data(), value.size() };
+    const std::size_t position = text.find(key);
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char* first = text.data() + position + key.size();
+    const std::from_chars_result read = std::from_chars(first, text.data() + text.size(), seconds);
+    return read.ec == std::errc {} ? std::optional<int> { seconds } : std::nullopt;
+}
+
+opaque_response response_parser::take()
+{
+    http::response<http::string_body> message = m_implementation->parser.release();
+    opaque_response response;
+    response.status = static_cast<int>(message.result_int());
+    response.headers = withoutHopByHop(internal::copyHeaders(message));
+    response.body = std::move(message.body());
+    return response;
+}
+
+} // namespace knapweedcroft
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -312,8 +312,8 @@
         onPong(record, *pong);
         return;
     }
-    if (const call_answer* answer = std::get_if<call_answer>(&message))
-        peerOf(record.hello->node).openCalls.erase(answer->id);
+    if (const std::optional<call_id> answered = answeredCall(message))
+        peerOf(record.hello->node).openCalls.erase(*answered);
     m_handlers.deliver(message_received { record.hello->node, std::move(message) });
 }
 
@@ -495,18 +495,18 @@
 
 void peer_hub::send(const send_to_peer& action)
 {
-    const call_request* call = std::get_if<call_request>(&action.message);
+    const std::optional<call_id> call = requestedCall(action.message);
     link_record* record = activeLink(action.peer);
     if (record == nullptr) {
-        if (call != nullptr)
-            reportUnwritten(action.peer, call->id);
+        if (call)
+            reportUnwritten(action.peer, *call);
         return;
     }
-    if (call != nullptr)
-        peerOf(action.peer).openCalls.insert(call->id);
+    if (call)
+        peerOf(action.peer).openCalls.insert(*call);
     else if (const cancel_message* cancel = std::get_if<cancel_message>(&action.message))
         peerOf(action.peer).openCalls.erase(cancel->id);
-    transmit(*record, action.message, call == nullptr ? std::nullopt : std::optional<call_id> { call->id });
+    transmit(*record, action.message, call);
     record->isAwaited = true;
 }
 
--- a/src/knapweedcroft/node/node_core.cpp
+++ b/src/knapweedcroft/node/node_core.cpp
@@ -377,6 +377,19 @@
 
 void node_core::receive(const node_name&, const pong_message&, node_actions&) { }
 
+// Opaque requests are forwarded by the gateway; the node of keyed calls has no upstream for them.
+void node_core::receive(const node_name& peer, const forward_request& message, node_actions& actions)
+{
+    forward_answer answer;
+    answer.id = message.id;
+    answer.outcome = forward_refusal { refusal_reason::no_upstream, milliseconds {}, false };
+    actions.emplace_back(send_to_peer { peer, answer });
+}
+
+void node_core::receive(const node_name&, const forward_answer&, node_actions&) { }
+
+void node_core::receive(const node_name&, const upstream_status_message&, node_actions&) { }
+
 std::optional<time_point> node_core::nextWakeup() const
 {
     std::optional<time_point> next = m_origin.nextWakeup();
--- /dev/null
+++ b/src/knapweedcroft/settings/gateway_program_settings.cpp
@@ -0,0 +1,108 @@
+#include "knapweedcroft/settings/gateway_program_settings.hpp"
+
+#include "knapweedcroft/core/duration_text.hpp"
+#include "knapweedcroft/core/hash.hpp"
+#include "knapweedcroft/core/json_reader.hpp"
+
+#include <utility>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+[[nodiscard]] static host_port readAddress(json_reader& reader, std::string_view field)
+{
+    const result<host_port> address = parseHostPort(reader.string(field));
+    if (hasValue(address))
+        return valueOf(address);
+    reader.fail(error_kind::invalid_value,
+        reader.context() + ": field \"" + std::string { field } + "\" must be an address, as IP:PORT");
+    return {};
+}
+
+[[nodiscard]] static milliseconds readDurationText(json_reader& reader, std::string_view field, milliseconds fallback)
+{
+    const std::string text = reader.string(field, std::to_string(fallback.whole()) + "ms");
+    const std::optional<milliseconds> value = parseDuration(text);
+    if (!value)
+        reader.fail(error_kind::invalid_value,
+            reader.context() + ": field \"" + std::string { field } + "\" must be a duration, such as 1500ms or 2.5s");
+    return value.value_or(fallback);
+}
+
+// Reads one part of the document; `read` gets the reader of the part.
+template <typename Read> static void readPart(json_reader& document, std::string_view field, Read&& read)
+{
+    static const nlohmann::json empty = nlohmann::json::object();
+    const nlohmann::json& part = document.child(field);
+    json_reader reader { part.is_null() ? empty : part, document.context() + "." + std::string { field } };
+    read(reader);
+    if (const std::optional<error> fault = reader.finish())
+        document.fail(fault->kind, fault->message);
+}
+
+static void readGateway(json_reader& document, gateway_program_settings& settings)
+{
+    // Three announcements may be late or lost before the upstream counts as silent.
+    constexpr std::int64_t missedAnnouncements = 3;
+    constexpr milliseconds announcementMargin { 500 };
+    readPart(document, "node", [&settings](json_reader& reader) {
+        settings.gateway.node = reader.string("name");
+        settings.gateway.data_centre = reader.string("data_centre");
+        settings.gateway.service = reader.string("service");
+        settings.gateway.seed = hash64(settings.gateway.node);
+    });
+    readPart(document, "upstream", [&settings](json_reader& reader) {
+        const host_port address = readAddress(reader, "address");
+        settings.gateway.upstreamAddress = address.host + ":" + std::to_string(address.port);
+        const milliseconds interval = readDurationText(reader, "announcement_interval", milliseconds { 1500 });
+        settings.gateway.upstreamSilence = interval * missedAnnouncements + announcementMargin;
+    });
+    readPart(document, "retries", [&settings](json_reader& reader) {
+        constexpr double mostSlack = 1e9;
+        retry_allowance_settings& retries = settings.gateway.retries;
+        retries.ratio = reader.number("ratio", 0.0, 1000.0, retries.ratio);
+        retries.slack = reader.number("slack", 0.0, mostSlack, retries.slack);
+        retries.window = readDurationText(reader, "window", retries.window);
+    });
+}
+
+static void readListen(json_reader& document, gateway_program_settings& settings)
+{
+    readPart(document, "listen", [&settings](json_reader& reader) {
+        settings.clients = readAddress(reader, "clients");
+        settings.readiness = readAddress(reader, "readiness");
+        settings.announcements = readAddress(reader, "announcements");
+        settings.peers = readAddress(reader, "peers");
+        if (!reader.string("metrics", "").empty())
+            settings.metrics = readAddress(reader, "metrics");
+    });
+}
+
+} // namespace internal
+
+result<gateway_program_settings> readGatewaySettings(const nlohmann::json& document, const std::string& context)
+{
+    gateway_program_settings settings;
+    json_reader reader { document, context };
+    internal::readGateway(reader, settings);
+    internal::readListen(reader, settings);
+    internal::readPart(reader, "store", [&settings](json_reader& part) {
+        const host_port address = internal::readAddress(part, "address");
+        settings.store = address.host + ":" + std::to_string(address.port);
+    });
+    settings.grace = internal::readDurationText(reader, "grace", settings.grace);
+    settings.chartsDirectory = reader.string("charts", settings.chartsDirectory);
+    const std::string level = reader.string("log_level", "info");
+    const std::optional<log_level> parsed = parseLogLevel(level);
+    if (!parsed)
+        reader.fail(error_kind::invalid_value,
+            context + ": field \"log_level\" must be \"debug\", \"info\", \"warning\" or \"error\"");
+    settings.logging.level = parsed.value_or(log_level::info);
+    settings.logging.isOnStandardOutput = true;
+    if (const std::optional<error> fault = reader.finish())
+        return *fault;
+    return settings;
+}
+
+} // namespace knapweedcroft
--- a/src/knapweedcroft/telemetry/logger.cpp
+++ b/src/knapweedcroft/telemetry/logger.cpp
@@ -9,6 +9,9 @@
 #include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
 #include <chrono>
 #include <ctime>
@@ -70,6 +73,57 @@
     }
 };
 
+// Writes lines to stdout within a bound per second; a reader that does not keep up loses lines, it does not delay
+// requests. The next line that is written tells how many were left out.
+class bounded_output : public log4cplus::Appender {
+public:
+    ~bounded_output() override { destructorImpl(); }
+
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+            event.getTimestamp().time_since_epoch())
+                                        .count();
+        if (second != m_second) {
+            m_second = second;
+            m_linesInSecond = 0;
+        }
+        const bool isAudit = event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
+        if (m_linesInSecond >= (isAudit ? mostLinesPerSecond + reservedLines : mostLinesPerSecond) || !isWritable()) {
+            ++m_leftOut;
+            return;
+        }
+        ++m_linesInSecond;
+        std::ostringstream line;
+        if (m_leftOut > 0)
+            line << R"({"event":"log_lines_left_out","count":")" << m_leftOut << "\"}\n";
+        m_leftOut = 0;
+        layout->formatAndAppend(line, event);
+        const std::string text = line.str();
+        const ssize_t written = ::write(STDOUT_FILENO, text.data(), text.size());
+        if (written < static_cast<ssize_t>(text.size()))
+            ++m_leftOut;
+    }
+
+private:
+    // A pipe that poll reports as writable takes at least PIPE_BUF bytes without blocking; lines are shorter.
+    [[nodiscard]] static bool isWritable()
+    {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    }
+
+    static constexpr std::uint32_t mostLinesPerSecond = 150;
+    static constexpr std::uint32_t reservedLines = 50; // For warnings and errors.
+
+    std::int64_t m_second = 0;
+    std::uint32_t m_linesInSecond = 0;
+    std::uint64_t m_leftOut = 0;
+};
+
 [[nodiscard]] static bool isReserved(std::string_view field) noexcept
 {
     return field == "time" || field == "level" || field == "logger" || field == "event";
@@ -98,7 +152,9 @@
     constexpr int olderFiles = 2;
     internal::ensureInitialized();
     log4cplus::SharedAppenderPtr appender;
-    if (settings.file.empty())
+    if (settings.isOnStandardOutput)
+        appender = new internal::bounded_output;
+    else if (settings.file.empty())
         appender = new log4cplus::ConsoleAppender { true, true };
     else
         appender = new log4cplus::RollingFileAppender { settings.file, maxFileBytes, olderFiles, true, true };
--- a/src/knapweedcroft/telemetry/logger.hpp
+++ b/src/knapweedcroft/telemetry/logger.hpp
@@ -19,6 +19,7 @@
 /** @brief Where the log lines of a process go. */
 struct log_settings {
     log_level level = log_level::info; /*!< Less important lines are left out; audit lines are always written. */
+    bool isOnStandardOutput = false; /*!< Writes to stdout, within a bound on lines, and never waits for its reader. */
     std::string file; /*!< Path; empty for stderr. A file is renamed at 64 MiB and two older ones are kept. */
 };
 
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -47,6 +47,21 @@
     return wire_json::array({ static_cast<std::uint64_t>(value.importance()), value.rank() });
 }
 
+[[nodiscard]] static wire_json toJson(const http_headers& headers)
+{
+    wire_json list = wire_json::array();
+    for (const std::pair<std::string, std::string>& header : headers) {
+        list.push_back(header.first);
+        list.push_back(header.second);
+    }
+    return list;
+}
+
+[[nodiscard]] static wire_json toJson(const upstream_load& load)
+{
+    return wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
+}
+
 struct header_writer {
     wire_json operator()(const hello_message& value) const
     {
@@ -91,6 +106,41 @@
         return header.take();
     }
 
+    wire_json operator()(const forward_request& value) const
+    {
+        map_builder header;
+        header.add("k", "forward").add("id", value.id.value()).add("service", value.service);
+        header.add("caller", value.caller).add("entry", value.entry).add("request", value.requestId);
+        header.add("rank", value.rank).add("invested", value.isInvested).add("alternative", value.hasAlternative);
+        header.add("deadline_us", value.deadline.microseconds()).add("target_us", value.target.microseconds());
+        header.add("method", value.request.method).add("path", value.request.target);
+        header.add("headers", toJson(value.request.headers));
+        return header.take();
+    }
+
+    wire_json operator()(const forward_answer& value) const
+    {
+        map_builder header;
+        header.add("k", "forwarded").add("id", value.id.value());
+        header.add("load", toJson(value.load)).add("upstream_us", value.upstreamTime.microseconds());
+        if (const opaque_response* response = std::get_if<opaque_response>(&value.outcome))
+            header.add("status", response->status).add("headers", toJson(response->headers));
+        if (const forward_refusal* refusal = std::get_if<forward_refusal>(&value.outcome)) {
+            header.add("reason", toString(refusal->reason)).add("retry_after_us", refusal->retryAfter.microseconds());
+            header.add("reached", refusal->reachedUpstream);
+        }
+        if (const forward_failure* failure = std::get_if<forward_failure>(&value.outcome))
+            header.add("failure", failure->message);
+        return header.take();
+    }
+
+    wire_json operator()(const upstream_status_message& value) const
+    {
+        return { { "k", "upstream" }, { "upstream", value.upstream }, { "started_ms", value.startedAt },
+            { "serving", value.isServing }, { "warm_up_us", value.warmUpLeft.microseconds() },
+            { "load", toJson(value.load) }, { "catalogue", value.catalogueVersion } };
+    }
+
     wire_json operator()(const cancel_message& value) const
     {
         return { { "k", "cancel" }, { "id", value.id.value() } };
@@ -157,6 +207,12 @@
 {
     if (const call_request* call = std::get_if<call_request>(&message))
         return &call->body;
+    if (const forward_request* forward = std::get_if<forward_request>(&message))
+        return &forward->request.body;
+    if (const forward_answer* forwarded = std::get_if<forward_answer>(&message)) {
+        const opaque_response* response = std::get_if<opaque_response>(&forwarded->outcome);
+        return response == nullptr ? nullptr : &response->body;
+    }
     const call_answer* answer = std::get_if<call_answer>(&message);
     const answered* outcome = answer == nullptr ? nullptr : std::get_if<answered>(&answer->outcome);
     return outcome == nullptr ? nullptr : &outcome->body;
@@ -328,6 +384,107 @@
     return message;
 }
 
+[[nodiscard]] static http_headers readHeaders(field_reader& reader)
+{
+    constexpr std::size_t maxHeaders = 1024;
+    const std::vector<std::string> parts = readNames(reader, "headers");
+    if (parts.size() % 2 != 0 || parts.size() > 2 * maxHeaders) {
+        reader.fail("headers", "a list of names and values");
+        return {};
+    }
+    http_headers headers;
+    for (std::size_t index = 0; index < parts.size(); index += 2)
+        headers.emplace_back(parts[index], parts[index + 1]);
+    return headers;
+}
+
+[[nodiscard]] static upstream_load readLoad(field_reader& reader)
+{
+    constexpr std::size_t fields = 4;
+    const wire_json& list = reader.list("load", fields);
+    upstream_load load;
+    for (const wire_json& item : list) {
+        if (!item.is_number_unsigned() || item.get<std::uint64_t>() > UINT32_MAX) {
+            reader.fail("load", "a list of four numbers");
+            return load;
+        }
+    }
+    if (list.size() != fields) {
+        reader.fail("load", "a list of four numbers");
+        return load;
+    }
+    load.running = list[0].get<std::uint32_t>();
+    load.queued = list[1].get<std::uint32_t>();
+    load.slots = list[2].get<std::uint32_t>();
+    load.serviceTime = milliseconds::fromMicroseconds(list[3].get<std::int64_t>());
+    return load;
+}
+
+[[nodiscard]] static peer_message readForward(field_reader& reader, std::string&& body)
+{
+    forward_request message;
+    message.id = call_id { reader.number("id") };
+    message.service = reader.text("service", maxTextBytes);
+    message.caller = reader.text("caller", maxTextBytes);
+    message.entry = reader.text("entry", maxTextBytes);
+    message.requestId = reader.text("request", maxTextBytes);
+    message.rank = readCount(reader, "rank");
+    message.isInvested = reader.boolean("invested");
+    message.hasAlternative = reader.boolean("alternative");
+    message.deadline = readDuration(reader, "deadline_us");
+    message.target = readDuration(reader, "target_us");
+    message.request.method = reader.text("method", maxTextBytes);
+    message.request.target = reader.text("path", maxTextBytes);
+    message.request.headers = readHeaders(reader);
+    message.request.body = std::move(body);
+    return message;
+}
+
+[[nodiscard]] static forward_outcome readForwardOutcome(field_reader& reader, std::string&& body)
+{
+    constexpr std::uint64_t maxStatus = 999;
+    if (reader.has("status")) {
+        opaque_response response;
+        response.status = static_cast<int>(reader.number("status", maxStatus));
+        response.headers = readHeaders(reader);
+        response.body = std::move(body);
+        return response;
+    }
+    if (reader.has("reason")) {
+        forward_refusal refusal;
+        refusal.reason = readReason(reader);
+        refusal.retryAfter = readDuration(reader, "retry_after_us");
+        refusal.reachedUpstream = reader.boolean("reached");
+        return refusal;
+    }
+    return forward_failure { reader.text("failure", maxTextBytes) };
+}
+
+[[nodiscard]] static peer_message readForwarded(field_reader& reader, std::string&& body)
+{
+    forward_answer message;
+    message.id = call_id { reader.number("id") };
+    message.load = readLoad(reader);
+    message.upstreamTime = readDuration(reader, "upstream_us");
+    const bool hasBody = !body.empty();
+    message.outcome = readForwardOutcome(reader, std::move(body));
+    if (hasBody && !std::holds_alternative<opaque_response>(message.outcome))
+        reader.fail("status", "present in a frame with a body");
+    return message;
+}
+
+[[nodiscard]] static peer_message readUpstreamStatus(field_reader& reader, std::string&&)
+{
+    upstream_status_message message;
+    message.upstream = reader.text("upstream", maxTextBytes);
+    message.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
+    message.isServing = reader.boolean("serving");
+    message.warmUpLeft = readDuration(reader, "warm_up_us");
+    message.load = readLoad(reader);
+    message.catalogueVersion = reader.integer("catalogue", -1, INT64_MAX / 2);
+    return message;
+}
+
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
 {
     return cancel_message { call_id { reader.number("id") } };
@@ -428,7 +585,9 @@
     { "cancel", &readCancel, false }, { "ping", &readPing, false }, { "pong", &readPong, false },
     { "heartbeat", &readHeartbeat, false }, { "hello", &readHello, false }, { "state_change", &readStateChange, false },
     { "hand_over", &readHandOver, false }, { "hand_over_ack", &readHandOverAck, false },
-    { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false } };
+    { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false },
+    { "forward", &readForward, true }, { "forwarded", &readForwarded, true },
+    { "upstream", &readUpstreamStatus, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -6,6 +6,7 @@
 #include "knapweedcroft/core/ids.hpp"
 #include "knapweedcroft/core/priority.hpp"
 #include "knapweedcroft/core/time.hpp"
+#include "knapweedcroft/http/message.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -150,10 +151,86 @@
     std::string membership;
 };
 
+/** @brief Asks the node beside an upstream to run an opaque request. */
+struct forward_request {
+    call_id id; /*!< Unique at the sending incarnation. */
+    service_name service; /*!< Service that must run the request. */
+    service_name caller; /*!< Service of the host on which the request began. */
+    std::string entry; /*!< Name of the catalogue entry. */
+    std::string requestId; /*!< Identifier that the client gave the request. */
+    std::uint32_t rank = 0; /*!< Importance; zero is the highest. */
+    bool isInvested = false; /*!< An upstream made the request, while it works on another one. */
+    bool hasAlternative = false; /*!< The sender can choose another upstream if this one refuses. */
+    milliseconds deadline; /*!< Time remaining until the answer is no longer awaited. */
+    milliseconds target; /*!< Time remaining until the answer is late; negative if it is. */
+    opaque_request request;
+};
+
+/** @brief Load of an upstream, as its node sees it. */
+struct upstream_load {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t slots = 0;
+    milliseconds serviceTime; /*!< Mean time for which a request occupies a slot. */
+
+    friend bool operator==(const upstream_load& lhs, const upstream_load& rhs)
+    {
+        return lhs.running == rhs.running && lhs.queued == rhs.queued && lhs.slots == rhs.slots
+            && lhs.serviceTime == rhs.serviceTime;
+    }
+};
+
+/** @brief The request did not run; another upstream may be asked. */
+struct forward_refusal {
+    refusal_reason reason = refusal_reason::overloaded;
+    milliseconds retryAfter; /*!< When room is expected. */
+    bool reachedUpstream = false; /*!< The upstream itself refused it. */
+};
+
+/** @brief The request was sent to the upstream and got no whole answer; it may have run. */
+struct forward_failure {
+    std::string message;
+};
+
+/** @brief How an opaque request ended at the node beside the upstream. */
+using forward_outcome = std::variant<opaque_response, forward_refusal, forward_failure>;
+
+/** @brief Final answer to an opaque request. */
+struct forward_answer {
+    call_id id; /*!< Identifier of the request at its sender. */
+    forward_outcome outcome;
+    upstream_load load;
+    milliseconds upstreamTime; /*!< Time for which the upstream worked on the request. */
+};
+
+/** @brief Tells a peer which upstream the sender stands beside; sent on a new link and on each change. */
+struct upstream_status_message {
+    std::string upstream; /*!< Identifier of the upstream; empty if there is none. */
+    std::int64_t startedAt = 0; /*!< Unix time in ms at which the upstream started. */
+    bool isServing = false; /*!< Takes new requests. */
+    milliseconds warmUpLeft; /*!< Time for which the upstream stays slow after its start. */
+    upstream_load load;
+    std::int64_t catalogueVersion = -1; /*!< Version of the catalogue in force at the sender. */
+};
+
 /** @brief Any message between two nodes. */
 using peer_message = std::variant<hello_message, call_request, call_answer, cancel_message, ping_message, pong_message,
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
-    catch_up_message>;
+    catch_up_message, forward_request, forward_answer, upstream_status_message>;
+
+/**
+ * @brief Returns the call that a message asks the receiver to run.
+ * @param message The message.
+ * @return Identifier of the call, or nothing if the message asks for none.
+ */
+[[nodiscard]] std::optional<call_id> requestedCall(const peer_message& message);
+
+/**
+ * @brief Returns the call that a message ends for its receiver.
+ * @param message The message.
+ * @return Identifier of the call, or nothing if the message answers none.
+ */
+[[nodiscard]] std::optional<call_id> answeredCall(const peer_message& message);
 
 } // namespace knapweedcroft
 
