Admit new requests by the room that deep services advertise

Change: the node beside an upstream advertises a share of new work (rate control with a term for the queue), answers carry it up, entries that depend on calls are cut in the order of their ranks; a full upstream hands over to a free one of another data centre; the queue is ordered by due time; the wake-up of the core is no longer put off by other events.

--- /dev/null
+++ b/src/knapweedcroft/gateway/call_dependence.hpp
@@ -0,0 +1,58 @@
+#ifndef KNAPWEEDCROFT_GATEWAY_CALL_DEPENDENCE_HPP
+#define KNAPWEEDCROFT_GATEWAY_CALL_DEPENDENCE_HPP
+
+#include "knapweedcroft/core/time.hpp"
+
+#include <string>
+#include <unordered_map>
+
+namespace knapweedcroft {
+
+/**
+ * @brief Learns which entries of an upstream depend on the calls that the upstream makes.
+ *
+ * A call carries no mark of the request that made it. While a good part of the calls of an upstream fail or are late,
+ * the requests that depend on them do so too, and the others go on as before. An entry counts as dependent until its
+ * requests have ended well at such a time.
+ */
+class call_dependence {
+public:
+    /**
+     * @brief Takes the end of a call that the upstream made.
+     * @param isGood True if it succeeded within its target latency.
+     * @param now Present time.
+     */
+    void callEnded(bool isGood, time_point now);
+
+    /**
+     * @brief Takes the end of a request that the upstream worked on.
+     * @param entry Its entry.
+     * @param isGood True if it succeeded within its target latency.
+     * @param now Present time.
+     */
+    void requestEnded(const std::string& entry, bool isGood, time_point now);
+
+    /**
+     * @brief Tells whether requests of an entry depend on calls of the upstream.
+     * @param entry The entry.
+     * @return False only if its requests have ended well while calls did not.
+     */
+    [[nodiscard]] bool isDependent(const std::string& entry) const;
+
+private:
+    struct entry_counts {
+        double ended = 0.0;
+        double bad = 0.0;
+    };
+
+    [[nodiscard]] bool areCallsBad(time_point now) const;
+
+    double m_calls = 0.0; /*!< Recent calls; decays. */
+    double m_badCalls = 0.0;
+    time_point m_decayedAt;
+    std::unordered_map<std::string, entry_counts> m_entries;
+};
+
+} // namespace knapweedcroft
+
+#endif
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -31,8 +31,8 @@
     , m_incarnation { incarnation }
     , m_registry { upstreamChart, settings.upstreamSilence }
     , m_table { std::make_shared<const entry_table>() }
-    , m_origin { settings, m_directory }
     , m_served { settings, m_registry }
+    , m_origin { settings, m_directory, m_served }
 {
     m_directory.linked(makeHello());
 }
@@ -292,6 +292,7 @@
 {
     const hello_message& hello = event.hello;
     m_directory.linked(hello);
+    updateServices();
     m_dials.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, ownStatus() });
     const bool isBehind = m_table->version() < hello.catalogueOffset;
@@ -299,9 +300,21 @@
         actions.emplace_back(send_to_peer { hello.node, catch_up_request_message { m_table->version(), -1 } });
 }
 
+// Tells the services that have hosts to the profile of callers.
+void gateway_core::updateServices()
+{
+    std::set<service_name> services;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (item.second.isLinked)
+            services.insert(item.second.record.upstream.service);
+    }
+    m_served.setServices(std::move(services));
+}
+
 void gateway_core::on(const link_closed& event, gateway_actions& actions)
 {
     m_directory.unlinked(event.peer);
+    updateServices();
     m_origin.linkLost(event, m_now, actions);
     m_served.peerLost(event.peer, m_now, actions);
     scheduleDial(event.peer, internal::redialDelay);
@@ -378,21 +391,34 @@
 
 void gateway_core::on(const timer_fired&, gateway_actions& actions)
 {
+    m_polledAt = m_now;
     m_origin.poll(m_now, actions);
     m_served.poll(m_now, actions);
     if (m_registry.poll(m_now))
         announceUpstream("upstream_silent", actions);
     dial(actions);
     askPeers(actions);
+    reportLoad(actions);
+}
+
+// One line a second tells later which load the decisions of that second were taken under.
+void gateway_core::reportLoad(gateway_actions& actions)
+{
+    constexpr milliseconds reportInterval { 1000 };
+    if (m_now - m_reportedAt < reportInterval)
+        return;
+    m_reportedAt = m_now;
+    if (m_registry.isServing())
+        actions.emplace_back(internal::logLine(log_level::info, "load", m_served.describeLoad(m_now)));
 }
 
 std::optional<time_point> gateway_core::nextWakeup() const
 {
-    constexpr milliseconds silenceCheck { 500 };
-    time_point next = m_now + silenceCheck;
+    constexpr milliseconds checkInterval { 250 };
+    time_point next = m_polledAt + checkInterval;
     if (const std::optional<time_point> origin = m_origin.nextWakeup())
         next = std::min(next, *origin);
-    if (const std::optional<time_point> served = m_served.nextWakeup(m_now))
+    if (const std::optional<time_point> served = m_served.nextWakeup())
         next = std::min(next, *served);
     for (const std::pair<const node_name, time_point>& item : m_dials)
         next = std::min(next, item.second);
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -92,6 +92,8 @@
     void announceUpstream(std::string_view cause, gateway_actions& actions);
     void scheduleDial(const node_name& node, milliseconds delay);
     void dial(gateway_actions& actions);
+    void updateServices();
+    void reportLoad(gateway_actions& actions);
     void askPeers(gateway_actions& actions);
     [[nodiscard]] upstream_status_message ownStatus() const;
     [[nodiscard]] directory_record ownRecord() const;
@@ -105,10 +107,12 @@
     upstream_registry m_registry;
     node_directory m_directory;
     std::shared_ptr<const entry_table> m_table;
-    origin_requests m_origin;
     served_requests m_served;
+    origin_requests m_origin;
     std::map<node_name, time_point> m_dials; /*!< When to open a link to a node that is not linked. */
     std::optional<time_point> m_nextQuestion; /*!< When to ask peers for what the store does not tell. */
+    time_point m_polledAt;
+    time_point m_reportedAt;
     bool m_isStoreAvailable = false;
     bool m_isDirectoryRead = false;
     bool m_isStopping = false;
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -69,6 +69,7 @@
     , m_boundary { std::move(boundary) }
     , m_clock { system_time_source {} }
     , m_log { "gateway" }
+    , m_requestLog { "requests" }
     , m_core { settings.gateway, charts.upstream, internal::peerAddress(settings), incarnation }
     , m_server { loop, pipelined_server_limits {},
         { [this](std::uint64_t number, opaque_request request) { onRequest(number, std::move(request)); },
@@ -252,7 +253,12 @@
 
 void gateway_runtime::perform(close_link& action) { m_hub.close(action); }
 
-void gateway_runtime::perform(write_log& action) { m_log.write(action); }
+void gateway_runtime::perform(write_log& action)
+{
+    const bool isOfRequest = std::any_of(action.fields.begin(), action.fields.end(),
+        [](const std::pair<std::string, std::string>& field) { return field.first == "request"; });
+    (isOfRequest ? m_requestLog : m_log).write(action);
+}
 
 void gateway_runtime::stop()
 {
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -116,6 +116,7 @@
     gateway_boundary m_boundary;
     clock m_clock;
     logger m_log;
+    logger m_requestLog; /*!< Lines on single requests, which are bounded more tightly. */
     metrics m_metrics;
     gateway_core m_core;
     pipelined_server m_server;
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -27,9 +27,11 @@
 
 } // namespace internal
 
-origin_requests::origin_requests(const gateway_settings& settings, node_directory& directory)
+origin_requests::origin_requests(
+    const gateway_settings& settings, node_directory& directory, served_requests& served)
     : m_settings { settings }
     , m_directory { directory }
+    , m_served { served }
     , m_table { std::make_shared<const entry_table>() }
     , m_placement { settings.data_centre, settings.seed }
     , m_allowance { settings.retries }
@@ -96,8 +98,8 @@
 {
     origin_request& request = m_requests.at(id);
     const std::vector<placement_candidate> candidates = candidatesFor(request);
-    const placement_request need { request.entry->name,
-        request.entry->targetLatency - (now - request.arrival) };
+    const milliseconds aim = std::min(request.entry->targetLatency, request.entry->timeout);
+    const placement_request need { request.entry->name, aim - (now - request.arrival) };
     const std::optional<std::size_t> chosen = m_placement.choose(candidates, need, now);
     if (!chosen) {
         refuse(id, now, actions);
@@ -140,6 +142,8 @@
     if (position == m_requests.end() || position->second.node != peer)
         return;
     origin_request& request = position->second;
+    m_served.noteAnswer(
+        request.entry->name, answer, now - request.arrival <= request.entry->targetLatency, now);
     const opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
     m_placement.ended(peer, request.entry->name,
         response == nullptr ? std::nullopt : std::optional<milliseconds> { answer.upstreamTime }, now);
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -8,6 +8,7 @@
 #include "knapweedcroft/gateway/node_directory.hpp"
 #include "knapweedcroft/gateway/placement.hpp"
 #include "knapweedcroft/gateway/retry_allowance.hpp"
+#include "knapweedcroft/gateway/served_requests.hpp"
 #include "knapweedcroft/gateway/service_split.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
 
@@ -42,8 +43,9 @@
      * @brief Constructs an object without requests; each is refused until a catalogue is set.
      * @param settings Settings of the gateway.
      * @param directory The nodes; must outlive the object.
+     * @param served Learns which requests are calls of the upstream of this host; must outlive the object.
      */
-    origin_requests(const gateway_settings& settings, node_directory& directory);
+    origin_requests(const gateway_settings& settings, node_directory& directory, served_requests& served);
 
     /**
      * @brief Uses a catalogue for the requests that arrive from now on.
@@ -147,6 +149,7 @@
 
     gateway_settings m_settings;
     node_directory& m_directory;
+    served_requests& m_served;
     std::shared_ptr<const entry_table> m_table;
     service_split m_split;
     placement m_placement;
--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -15,7 +15,9 @@
 static constexpr double failurePenalty = 0.5;
 static constexpr double warmUpFactor = 2.0; // Upstreams take about twice the time while they warm up.
 // Part of the remaining target latency that the own data centre may use before another one is considered.
-static constexpr double ownShare = 0.7;
+static constexpr double ownShare = 0.45;
+// An upstream of another data centre takes what a full one cannot, as long as it keeps some slots for its own.
+static constexpr double freeOccupancy = 0.85;
 // Another data centre is used only if it is predicted to be faster by this factor.
 static constexpr double leastGain = 0.8;
 
@@ -70,6 +72,15 @@
     return milliseconds::fromFraction(time + excess / slots * occupancy + failures);
 }
 
+double placement::occupancy(const placement_candidate& candidate) const
+{
+    const node_measurements* measured = find(candidate.node);
+    const double outstanding = measured == nullptr ? 0.0 : static_cast<double>(measured->outstanding);
+    const double reported = static_cast<double>(candidate.load.running + candidate.load.queued);
+    const double slots = std::max(1.0, static_cast<double>(candidate.load.slots));
+    return (std::max(reported, outstanding) + 1.0) / slots;
+}
+
 std::optional<std::size_t> placement::choose(
     const std::vector<placement_candidate>& candidates, const placement_request& request, time_point now)
 {
@@ -92,9 +103,11 @@
     }
     if (!own || !other)
         return own ? own : other;
-    const bool isOwnTimely = ownTime <= internal::ownShare * request.target.count();
-    const bool isOtherBetter = otherTime < internal::leastGain * ownTime;
-    return isOwnTimely || !isOtherBetter ? own : other;
+    const bool isOwnSlow = ownTime > internal::ownShare * request.target.count();
+    const bool isOwnFull = occupancy(candidates[*own]) >= 1.0;
+    const bool isOtherFree = occupancy(candidates[*other]) < internal::freeOccupancy;
+    const bool isOtherWorthIt = (isOwnSlow && otherTime < internal::leastGain * ownTime) || (isOwnFull && isOtherFree);
+    return isOtherWorthIt ? other : own;
 }
 
 void placement::sent(const node_name& node) { ++m_nodes[node].outstanding; }
--- a/src/knapweedcroft/gateway/placement.hpp
+++ b/src/knapweedcroft/gateway/placement.hpp
@@ -106,6 +106,7 @@
     };
 
     [[nodiscard]] double expectedTime(const node_measurements* measured, const std::string& entry, time_point now) const;
+    [[nodiscard]] double occupancy(const placement_candidate& candidate) const;
     [[nodiscard]] double recentFailures(const node_measurements* measured, time_point now) const;
     [[nodiscard]] const node_measurements* find(const node_name& node) const;
 
--- /dev/null
+++ b/src/knapweedcroft/gateway/room_control.cpp
@@ -0,0 +1,55 @@
+#include "knapweedcroft/gateway/room_control.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedcroft {
+
+namespace internal {
+
+static constexpr milliseconds updateInterval { 50 };
+static constexpr milliseconds longestInterval { 500 }; // After a longer gap, what was measured before says nothing.
+static constexpr double smoothingTime = 150.0; // In ms.
+static constexpr double targetUtilization = 0.97;
+// A queue whose wait has this length in ms counts as much as full utilization beyond the target.
+static constexpr double fullWait = 150.0;
+// Whole requests reach the deep service within about 300 ms; gains per second beyond the inverse would oscillate.
+static constexpr double decreaseGain = 2.4; // Per second.
+static constexpr double increaseGain = 3.5; // Per second.
+static constexpr double leastShare = 0.03; // Enough requests to notice that there is room again.
+
+} // namespace internal
+
+void room_control::update(const room_sample& sample, time_point now)
+{
+    const milliseconds elapsed = now - m_updatedAt;
+    if (elapsed < internal::updateInterval || sample.slots == 0)
+        return;
+    m_updatedAt = now;
+    const double offered = m_offered;
+    m_offered = 0.0;
+    if (elapsed > internal::longestInterval) {
+        m_utilization = 0.0;
+        m_share = 1.0;
+        return;
+    }
+    const double interval = elapsed.count();
+    const double measured = offered / (interval * static_cast<double>(sample.slots));
+    m_utilization += (1.0 - std::exp(-interval / internal::smoothingTime)) * (measured - m_utilization);
+    const double spare
+        = internal::targetUtilization - m_utilization - sample.wait.count() / internal::fullWait;
+    constexpr double millisecondsPerSecond = 1000.0;
+    const double gain = spare > 0.0 ? internal::increaseGain : internal::decreaseGain;
+    const double change = std::max(-1.0, spare) * gain * interval / millisecondsPerSecond;
+    m_share = std::min(1.0, std::max(internal::leastShare, m_share * (1.0 + change)));
+}
+
+double admittedShare(double room, std::uint32_t rank) noexcept
+{
+    // Each rank is cut only when the next less urgent one has been cut to about a third.
+    constexpr double steps[] = { 9.0, 3.0, 1.0 };
+    constexpr std::uint32_t lastStep = 2;
+    return std::min(1.0, room * steps[std::min(rank, lastStep)]);
+}
+
+} // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -8,6 +8,12 @@
 
 static constexpr milliseconds unavailableRetry { 300 }; // An upstream that restarts announces itself within this time.
 
+[[nodiscard]] static bool isSuccess(int status)
+{
+    constexpr int firstServerError = 500;
+    return status < firstServerError;
+}
+
 } // namespace internal
 
 served_requests::served_requests(const gateway_settings& settings, upstream_registry& registry)
@@ -39,23 +45,74 @@
     request.peer = peer;
     request.message = message;
     request.deadline = now + message.deadline;
+    request.target = now + message.target;
     m_requests.emplace(id, std::move(request));
     m_ids.emplace(std::make_pair(peer, message.id), id);
     if (const std::optional<refusal_reason> reason = immediateRefusal(peer, message)) {
-        refuse(id, forward_refusal { *reason, internal::unavailableRetry, false }, actions);
+        refuse(id, forward_refusal { *reason, internal::unavailableRetry, false }, now, actions);
         return;
     }
+    m_callers.count(message.entry, message.caller, now);
+    if (isTurnedAway(message, now)) {
+        refuse(id, forward_refusal { refusal_reason::overloaded, m_queue.expectedRoom(), false }, now, actions);
+        return;
+    }
+    m_room.offered(m_queue.serviceTime(message.entry));
+    updateRoom(now);
     slot_request slot;
     slot.id = id;
     slot.entry = message.entry;
     slot.rank = message.rank;
-    slot.isInvested = message.isInvested;
+    slot.isInvested = m_callers.originOf(message.entry) == entry_origin::upstreams;
     slot.hasAlternative = message.hasAlternative;
     slot.target = now + message.target;
     slot.deadline = now + message.deadline;
     apply(m_queue.offer(slot, now), now, actions);
 }
 
+double served_requests::roomFor(const std::string& entry, time_point now) const
+{
+    const double below = m_dependence.isDependent(entry) ? m_downstream.least(now) : 1.0;
+    return std::min(m_room.share(), below);
+}
+
+// Calls of upstreams are always let through, because the work that they belong to would be lost.
+bool served_requests::isTurnedAway(const forward_request& message, time_point now)
+{
+    if (m_callers.originOf(message.entry) == entry_origin::upstreams)
+        return false;
+    const double share = admittedShare(roomFor(message.entry, now), message.rank);
+    double& credit = m_credits.try_emplace(message.entry, 1.0).first->second;
+    constexpr double mostCredit = 2.0;
+    credit = std::min(mostCredit, credit + share);
+    if (credit < 1.0)
+        return true;
+    credit -= 1.0;
+    return false;
+}
+
+void served_requests::noteAnswer(
+    const std::string& entry, const forward_answer& answer, bool isTimely, time_point now)
+{
+    if (!answer.isForCalls)
+        return;
+    const opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
+    m_downstream.update(entry, answer.room, now);
+    m_dependence.callEnded(isTimely && response != nullptr && internal::isSuccess(response->status), now);
+}
+
+void served_requests::noteOutcome(const served_request& request, const exchange_ended& event, time_point now)
+{
+    const upstream_response* response = std::get_if<upstream_response>(&event.outcome);
+    const bool isAnswered = response != nullptr && !response->isNotRun && internal::isSuccess(response->response.status);
+    m_dependence.requestEnded(request.message.entry, isAnswered && now <= request.target, now);
+}
+
+void served_requests::updateRoom(time_point now)
+{
+    m_room.update(room_sample { m_queue.load().slots, m_queue.load().queued > 0 ? m_queue.expectedRoom() : milliseconds {} }, now);
+}
+
 void served_requests::apply(const slot_decisions& decisions, time_point now, gateway_actions& actions)
 {
     for (const slot_decision& decision : decisions) {
@@ -64,7 +121,7 @@
             continue;
         }
         const refuse_request& refused = std::get<refuse_request>(decision);
-        refuse(refused.id, forward_refusal { refused.reason, refused.retryAfter, false }, actions);
+        refuse(refused.id, forward_refusal { refused.reason, refused.retryAfter, false }, now, actions);
     }
 }
 
@@ -86,7 +143,8 @@
     actions.emplace_back(std::move(action));
 }
 
-void served_requests::refuse(std::uint64_t id, const forward_refusal& refusal, gateway_actions& actions)
+void served_requests::refuse(
+    std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions)
 {
     const auto position = m_requests.find(id);
     if (position == m_requests.end())
@@ -99,7 +157,7 @@
         { { "reason", std::string { toString(refusal.reason) } }, { "queued", std::to_string(m_queue.load().queued) },
             { "running", std::to_string(m_queue.load().running) } },
         actions);
-    answer(request, refusal, time_point {}, actions);
+    answer(request, refusal, now, actions);
 }
 
 void served_requests::answer(
@@ -109,6 +167,8 @@
     message.id = request.message.id;
     message.outcome = std::move(outcome);
     message.load = m_queue.load();
+    message.isForCalls = m_callers.originOf(request.message.entry) == entry_origin::upstreams;
+    message.room = roomFor(request.message.entry, now);
     if (request.startedAt)
         message.upstreamTime = now - *request.startedAt;
     actions.emplace_back(send_to_peer { request.peer, std::move(message) });
@@ -184,6 +244,7 @@
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
     forward_outcome outcome = response != nullptr ? outcomeOf(request, *response, actions)
                                                   : outcomeOf(request, *failure, actions);
+    noteOutcome(request, event, now);
     const bool isMeasured = response != nullptr && !response->isNotRun;
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
     answer(request, std::move(outcome), now, actions);
@@ -203,7 +264,20 @@
     apply(m_queue.refuseAll(isLeaving ? refusal_reason::draining : refusal_reason::no_upstream), now, actions);
 }
 
-void served_requests::poll(time_point now, gateway_actions& actions) { apply(m_queue.poll(now), now, actions); }
+void served_requests::poll(time_point now, gateway_actions& actions) 
+{
+    updateRoom(now);
+    apply(m_queue.poll(now), now, actions);
+}
+
+std::vector<std::pair<std::string, std::string>> served_requests::describeLoad(time_point now) const
+{
+    const upstream_load load = m_queue.load();
+    return { { "running", std::to_string(load.running) }, { "queued", std::to_string(load.queued) },
+        { "slots", std::to_string(load.slots) }, { "service_time_ms", std::to_string(load.serviceTime.count()) },
+        { "utilization", std::to_string(m_room.utilization()) }, { "room", std::to_string(m_room.share()) },
+        { "room_below", std::to_string(m_downstream.least(now)) } };
+}
 
 void served_requests::log(std::string event, const served_request& request,
     std::vector<std::pair<std::string, std::string>> fields, gateway_actions& actions) const
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -2,7 +2,11 @@
 #define KNAPWEEDCROFT_GATEWAY_SERVED_REQUESTS_HPP
 
 #include "knapweedcroft/gateway/actions.hpp"
+#include "knapweedcroft/gateway/call_dependence.hpp"
+#include "knapweedcroft/gateway/caller_profile.hpp"
+#include "knapweedcroft/gateway/downstream_room.hpp"
 #include "knapweedcroft/gateway/events.hpp"
+#include "knapweedcroft/gateway/room_control.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
 #include "knapweedcroft/gateway/upstream_queue.hpp"
 #include "knapweedcroft/gateway/upstream_registry.hpp"
@@ -10,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -80,6 +85,21 @@
      */
     void upstreamChanged(time_point now, gateway_actions& actions);
 
+    /**
+     * @brief Sets the services that have hosts.
+     * @param services The services.
+     */
+    void setServices(std::set<service_name> services) { m_callers.setServices(std::move(services)); }
+
+    /**
+     * @brief Takes the answer to a request that began on this host and may be a call of the upstream.
+     * @param entry Its entry.
+     * @param answer The answer; tells the room of the services that the upstream calls.
+     * @param isTimely True if it came within the target latency.
+     * @param now Present time.
+     */
+    void noteAnswer(const std::string& entry, const forward_answer& answer, bool isTimely, time_point now);
+
     /** @brief Refuses requests of other nodes from now on, for a planned stop of this node. */
     void startDraining() { m_isDraining = true; }
 
@@ -91,11 +111,18 @@
     void poll(time_point now, gateway_actions& actions);
 
     /** @brief Returns when `poll` is due, if ever. */
-    [[nodiscard]] std::optional<time_point> nextWakeup(time_point now) const { return m_queue.nextWakeup(now); }
+    [[nodiscard]] std::optional<time_point> nextWakeup() const { return m_queue.nextWakeup(); }
 
     /** @brief Returns the load of the upstream. */
     [[nodiscard]] upstream_load load() const { return m_queue.load(); }
 
+    /**
+     * @brief Describes the load for the log: the inputs of the decisions on new requests.
+     * @param now Present time.
+     * @return Names and values.
+     */
+    [[nodiscard]] std::vector<std::pair<std::string, std::string>> describeLoad(time_point now) const;
+
     /** @brief Returns the counts since the start. */
     [[nodiscard]] const served_request_counters& counters() const noexcept { return m_counters; }
 
@@ -104,17 +131,23 @@
         node_name peer;
         forward_request message;
         time_point deadline;
+        time_point target;
         std::optional<time_point> startedAt;
         std::string upstream; /*!< Upstream to which it was sent. */
     };
 
     [[nodiscard]] std::optional<refusal_reason> immediateRefusal(
         const node_name& peer, const forward_request& message) const;
+    [[nodiscard]] bool isTurnedAway(const forward_request& message, time_point now);
+    void noteOutcome(const served_request& request, const exchange_ended& event, time_point now);
+    [[nodiscard]] double roomFor(const std::string& entry, time_point now) const;
     void apply(const slot_decisions& decisions, time_point now, gateway_actions& actions);
     void start(std::uint64_t id, time_point now, gateway_actions& actions);
-    void refuse(std::uint64_t id, const forward_refusal& refusal, gateway_actions& actions);
+    void refuse(
+        std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
     void drop(std::uint64_t id, time_point now, gateway_actions& actions);
     void answer(const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const;
+    void updateRoom(time_point now);
     [[nodiscard]] forward_outcome outcomeOf(
         const served_request& request, const upstream_response& response, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
@@ -124,6 +157,11 @@
     gateway_settings m_settings;
     upstream_registry& m_registry;
     upstream_queue m_queue;
+    caller_profile m_callers;
+    call_dependence m_dependence;
+    room_control m_room;
+    downstream_room m_downstream;
+    std::unordered_map<std::string, double> m_credits; /*!< Per entry; a new request starts for each whole unit. */
     std::unordered_map<std::uint64_t, served_request> m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_ids;
     served_request_counters m_counters;
--- a/src/knapweedcroft/gateway/upstream_queue.cpp
+++ b/src/knapweedcroft/gateway/upstream_queue.cpp
@@ -63,8 +63,7 @@
         return decisions;
     }
     waiting_key key;
-    key.isNew = !request.isInvested;
-    key.rank = request.rank;
+    key.due = request.target;
     key.sequence = ++m_sequence;
     m_keys.emplace(request.id, key);
     m_waiting.emplace(key, waiting_request { request, now });
@@ -115,6 +114,7 @@
         m_waiting.erase(position);
         waiting_key lateKey = key;
         lateKey.isLate = true;
+        lateKey.due = moved.request.deadline;
         m_keys[moved.request.id] = lateKey;
         m_waiting.emplace(lateKey, std::move(moved));
     }
@@ -181,16 +181,17 @@
 slot_decisions upstream_queue::poll(time_point now)
 {
     slot_decisions decisions;
+    m_polledAt = now;
     if (!m_waiting.empty())
         review(now, decisions);
     return decisions;
 }
 
-std::optional<time_point> upstream_queue::nextWakeup(time_point now) const
+std::optional<time_point> upstream_queue::nextWakeup() const
 {
     if (m_waiting.empty())
         return std::nullopt;
-    return now + internal::reviewInterval;
+    return m_polledAt + internal::reviewInterval;
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/upstream_queue.hpp
+++ b/src/knapweedcroft/gateway/upstream_queue.hpp
@@ -114,7 +114,7 @@
     [[nodiscard]] slot_decisions poll(time_point now);
 
     /** @brief Returns when `poll` may have something to do, if ever. */
-    [[nodiscard]] std::optional<time_point> nextWakeup(time_point now) const;
+    [[nodiscard]] std::optional<time_point> nextWakeup() const;
 
     /** @brief Returns the load of the upstream. */
     [[nodiscard]] upstream_load load() const;
@@ -131,14 +131,12 @@
 private:
     struct waiting_key {
         bool isLate = false;
-        bool isNew = false;
-        std::uint32_t rank = 0;
+        time_point due; /*!< Target if it can be met, else the deadline. */
         std::uint64_t sequence = 0;
 
         friend bool operator<(const waiting_key& lhs, const waiting_key& rhs) noexcept
         {
-            return std::tie(lhs.isLate, lhs.isNew, lhs.rank, lhs.sequence)
-                < std::tie(rhs.isLate, rhs.isNew, rhs.rank, rhs.sequence);
+            return std::tie(lhs.isLate, lhs.due, lhs.sequence) < std::tie(rhs.isLate, rhs.due, rhs.sequence);
         }
     };
 
@@ -165,6 +163,7 @@
     std::unordered_map<std::uint64_t, waiting_key> m_keys;
     std::unordered_map<std::uint64_t, running_request> m_running;
     std::unordered_map<std::string, double> m_serviceTimes; /*!< Mean per entry in ms. */
+    time_point m_polledAt;
     double m_meanServiceTime = 0.0; /*!< In ms; zero until the first answer. */
 };
 
--- a/src/knapweedcroft/telemetry/logger.cpp
+++ b/src/knapweedcroft/telemetry/logger.cpp
@@ -73,6 +73,8 @@
     }
 };
 
+static constexpr std::string_view requestLoggerName = "knapweed.requests";
+
 // Writes lines to stdout within a bound per second; a reader that does not keep up loses lines, it does not delay
 // requests. The next line that is written tells how many were left out.
 class bounded_output : public log4cplus::Appender {
@@ -91,8 +93,8 @@
             m_second = second;
             m_linesInSecond = 0;
         }
-        const bool isAudit = event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
-        if (m_linesInSecond >= (isAudit ? mostLinesPerSecond + reservedLines : mostLinesPerSecond) || !isWritable()) {
+        const bool isOfRequest = event.getLoggerName() == requestLoggerName;
+        if (m_linesInSecond >= (isOfRequest ? mostRequestLines : mostLines) || !isWritable()) {
             ++m_leftOut;
             return;
         }
@@ -116,8 +118,9 @@
         return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
     }
 
-    static constexpr std::uint32_t mostLinesPerSecond = 150;
-    static constexpr std::uint32_t reservedLines = 50; // For warnings and errors.
+    // Per second; lines on single requests leave room for those on the state of the process.
+    static constexpr std::uint32_t mostRequestLines = 120;
+    static constexpr std::uint32_t mostLines = 200;
 
     std::int64_t m_second = 0;
     std::uint32_t m_linesInSecond = 0;
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -57,6 +57,13 @@
     return list;
 }
 
+static constexpr double partsPerMillion = 1e6;
+
+[[nodiscard]] static std::uint64_t toPartsPerMillion(double share)
+{
+    return static_cast<std::uint64_t>(share * partsPerMillion);
+}
+
 [[nodiscard]] static wire_json toJson(const upstream_load& load)
 {
     return wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
@@ -122,6 +129,7 @@
     {
         map_builder header;
         header.add("k", "forwarded").add("id", value.id.value());
+        header.add("calls", value.isForCalls).add("room_ppm", toPartsPerMillion(value.room));
         header.add("load", toJson(value.load)).add("upstream_us", value.upstreamTime.microseconds());
         if (const opaque_response* response = std::get_if<opaque_response>(&value.outcome))
             header.add("status", response->status).add("headers", toJson(response->headers));
@@ -464,6 +472,9 @@
 {
     forward_answer message;
     message.id = call_id { reader.number("id") };
+    message.isForCalls = reader.boolean("calls");
+    message.room = static_cast<double>(reader.number("room_ppm", static_cast<std::uint64_t>(partsPerMillion)))
+        / partsPerMillion;
     message.load = readLoad(reader);
     message.upstreamTime = readDuration(reader, "upstream_us");
     const bool hasBody = !body.empty();
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -200,6 +200,8 @@
     call_id id; /*!< Identifier of the request at its sender. */
     forward_outcome outcome;
     upstream_load load;
+    bool isForCalls = false; /*!< The entry of the request is called by upstreams only. */
+    double room = 1.0; /*!< Share of new work for which the upstream and the services that it calls have room. */
     milliseconds upstreamTime; /*!< Time for which the upstream worked on the request. */
 };
 
