Tune the room that deep services advertise; refuse finally where no other upstream has room

Cause: the share of new work oscillated between full and its floor with a period of 4 s (queues of 120 at quota), since a whole request reaches the deep service only after up to a second, and urgent ranks were cut together with others.

Ruled out: gains of 2.4 and 3.5 a second (limit cycle), ranks cut in thirds.

--- a/src/knapweedcroft/gateway/downstream_room.cpp
+++ b/src/knapweedcroft/gateway/downstream_room.cpp
@@ -7,7 +7,7 @@
 
 namespace internal {
 
-static constexpr double roomSmoothingTime = 80.0; // In ms.
+static constexpr double roomSmoothingTime = 40.0; // In ms.
 static constexpr milliseconds roomValidity { 700 }; // Without calls for longer, nothing is known of the room.
 
 } // namespace internal
--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -78,7 +78,9 @@
 };
 
 /** @brief This node is to stop; its upstream may go on. */
-struct stop_requested { };
+struct stop_requested {
+    milliseconds grace; /*!< Time until the process ends. */
+};
 
 /** @brief Anything that a gateway reacts to. */
 using gateway_event = std::variant<client_request, client_gone, exchange_ended, announcement_received, leave_received,
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -245,12 +245,13 @@
 
 void gateway_core::on(const retry_bound_set& event, gateway_actions&) { m_origin.configureRetries(event.settings); }
 
-void gateway_core::on(const stop_requested&, gateway_actions& actions)
+void gateway_core::on(const stop_requested& event, gateway_actions& actions)
 {
     if (m_isStopping)
         return;
     m_isStopping = true;
     m_served.startDraining();
+    m_origin.startDraining(m_now, m_now + event.grace);
     const upstream_status_message status = ownStatus();
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
         if (item.second.isLinked && item.first != m_settings.node)
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -266,10 +266,11 @@
         return;
     m_isStopping = true;
     const time_point now = m_clock.now();
-    m_stopDeadline = now + m_settings.grace - internal::exitMargin;
+    const milliseconds grace = m_settings.grace - internal::exitMargin;
+    m_stopDeadline = now + grace;
     m_idleCloseAt = now + internal::rotationTime;
     m_server.startDraining();
-    handle(stop_requested {});
+    handle(stop_requested { grace });
 }
 
 void gateway_runtime::checkStop()
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -11,6 +11,8 @@
 static constexpr milliseconds shortestRetry { 20 };
 // Refusals cost no arrival at an upstream, but each one costs a message to another node.
 static constexpr std::size_t mostNodesTried = 3;
+// Clients hear within two health checks, one a second, that this node stops.
+static constexpr milliseconds lateArrival { 2500 };
 static constexpr std::int64_t retryShareDivisor = 3; // Clients honour at most a third of the time that they have left.
 
 [[nodiscard]] static own_answer answerOf(int status, std::string kind, std::string message, milliseconds retryAfter)
@@ -71,6 +73,11 @@
     m_deadlines.erase({ request.deadline, id });
     request.deadline = std::min(request.deadline, now + request.entry->timeout);
     m_deadlines.emplace(request.deadline, id);
+    if (isTooLate(request, now)) {
+        request.reason = refusal_reason::draining;
+        refuse(id, now, actions);
+        return;
+    }
     request.service = m_split.choose(*request.entry);
     request.request = event.request;
     m_allowance.setNodes(static_cast<std::uint32_t>(m_directory.nodes().size()) + 1);
@@ -78,6 +85,18 @@
     place(id, now, actions);
 }
 
+void origin_requests::startDraining(time_point now, time_point end)
+{
+    m_drainingSince = now;
+    m_end = end;
+}
+
+// Clients that still come after they were told to stop would lose what is not done at the end of the process.
+bool origin_requests::isTooLate(const origin_request& request, time_point now) const
+{
+    return m_end && now - m_drainingSince > internal::lateArrival && request.deadline > *m_end;
+}
+
 std::vector<placement_candidate> origin_requests::candidatesFor(const origin_request& request) const
 {
     std::vector<placement_candidate> candidates;
@@ -189,7 +208,7 @@
         }
         ++m_counters.repeated;
     }
-    if (request.tried.size() >= internal::mostNodesTried) {
+    if (refusal.isFinal || request.tried.size() >= internal::mostNodesTried) {
         refuse(id, now, actions);
         return;
     }
@@ -230,7 +249,7 @@
         return;
     }
     const milliseconds room
-        = milliseconds {} < request.retryAfter ? request.retryAfter : m_jitter.spread(internal::unknownRoom);
+        = m_jitter.spread(milliseconds {} < request.retryAfter ? request.retryAfter : internal::unknownRoom);
     const milliseconds most = (request.deadline - now) / internal::retryShareDivisor;
     const milliseconds retryAfter = std::max(internal::shortestRetry, std::min(room, most));
     ++m_counters.refused;
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -53,6 +53,13 @@
      */
     void setTable(std::shared_ptr<const entry_table> table);
 
+    /**
+     * @brief Prepares for the end of the process: requests that may not end before it are refused as not run.
+     * @param now Present time.
+     * @param end The end of the process.
+     */
+    void startDraining(time_point now, time_point end);
+
     /**
      * @brief Changes the bound on repeats.
      * @param settings The bound.
@@ -138,6 +145,7 @@
     void send(std::uint64_t id, const placement_candidate& target, bool hasAlternative, time_point now,
         gateway_actions& actions);
     [[nodiscard]] std::vector<placement_candidate> candidatesFor(const origin_request& request) const;
+    [[nodiscard]] bool isTooLate(const origin_request& request, time_point now) const;
     [[nodiscard]] bool maySendAgain(const origin_request& request, time_point now);
     void takeRefusal(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
     void takeFailure(std::uint64_t id, const std::string& cause, time_point now, gateway_actions& actions);
@@ -159,6 +167,8 @@
     std::unordered_map<request_handle, std::uint64_t> m_ids;
     std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
     origin_request_counters m_counters;
+    std::optional<time_point> m_end; /*!< End of the process, once it is to stop. */
+    time_point m_drainingSince;
     std::uint64_t m_lastId = 0;
 };
 
--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -106,7 +106,7 @@
     const bool isOwnSlow = ownTime > internal::ownShare * request.target.count();
     const bool isOwnFull = occupancy(candidates[*own]) >= 1.0;
     const bool isOtherFree = occupancy(candidates[*other]) < internal::freeOccupancy;
-    const bool isOtherWorthIt = (isOwnSlow && otherTime < internal::leastGain * ownTime) || (isOwnFull && isOtherFree);
+    const bool isOtherWorthIt = isOtherFree && (isOwnFull || (isOwnSlow && otherTime < internal::leastGain * ownTime));
     return isOtherWorthIt ? other : own;
 }
 
--- a/src/knapweedcroft/gateway/room_control.cpp
+++ b/src/knapweedcroft/gateway/room_control.cpp
@@ -9,14 +9,14 @@
 
 static constexpr milliseconds updateInterval { 50 };
 static constexpr milliseconds longestInterval { 500 }; // After a longer gap, what was measured before says nothing.
-static constexpr double smoothingTime = 150.0; // In ms.
+static constexpr double smoothingTime = 100.0; // In ms.
 static constexpr double targetUtilization = 0.97;
 // A queue whose wait has this length in ms counts as much as full utilization beyond the target.
-static constexpr double fullWait = 150.0;
+static constexpr double fullWait = 300.0;
 // Whole requests reach the deep service within about 300 ms; gains per second beyond the inverse would oscillate.
-static constexpr double decreaseGain = 2.4; // Per second.
-static constexpr double increaseGain = 3.5; // Per second.
-static constexpr double leastShare = 0.03; // Enough requests to notice that there is room again.
+static constexpr double decreaseGain = 1.2; // Per second.
+static constexpr double increaseGain = 2.0; // Per second.
+static constexpr double leastShare = 0.015; // Enough requests to notice that there is room again.
 
 } // namespace internal
 
@@ -40,14 +40,14 @@
         = internal::targetUtilization - m_utilization - sample.wait.count() / internal::fullWait;
     constexpr double millisecondsPerSecond = 1000.0;
     const double gain = spare > 0.0 ? internal::increaseGain : internal::decreaseGain;
-    const double change = std::max(-1.0, spare) * gain * interval / millisecondsPerSecond;
+    const double change = std::max(-2.0, spare) * gain * interval / millisecondsPerSecond;
     m_share = std::min(1.0, std::max(internal::leastShare, m_share * (1.0 + change)));
 }
 
 double admittedShare(double room, std::uint32_t rank) noexcept
 {
-    // Each rank is cut only when the next less urgent one has been cut to about a third.
-    constexpr double steps[] = { 9.0, 3.0, 1.0 };
+    // A rank is cut only when the next less urgent one has given way almost wholly.
+    constexpr double steps[] = { 40.0, 8.0, 1.0 };
     constexpr std::uint32_t lastStep = 2;
     return std::min(1.0, room * steps[std::min(rank, lastStep)]);
 }
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -6,6 +6,8 @@
 
 namespace internal {
 
+// An overload that lasts longer than a wait in the queue is over after some seconds at the earliest.
+static constexpr milliseconds overloadRetry { 1000 };
 static constexpr milliseconds unavailableRetry { 300 }; // An upstream that restarts announces itself within this time.
 
 [[nodiscard]] static bool isSuccess(int status)
@@ -54,7 +56,7 @@
     }
     m_callers.count(message.entry, message.caller, now);
     if (isTurnedAway(message, now)) {
-        refuse(id, forward_refusal { refusal_reason::overloaded, m_queue.expectedRoom(), false }, now, actions);
+        refuse(id, forward_refusal { refusal_reason::overloaded, internal::overloadRetry, false, true }, now, actions);
         return;
     }
     m_room.offered(m_queue.serviceTime(message.entry));
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -135,7 +135,7 @@
             header.add("status", response->status).add("headers", toJson(response->headers));
         if (const forward_refusal* refusal = std::get_if<forward_refusal>(&value.outcome)) {
             header.add("reason", toString(refusal->reason)).add("retry_after_us", refusal->retryAfter.microseconds());
-            header.add("reached", refusal->reachedUpstream);
+            header.add("reached", refusal->reachedUpstream).add("final", refusal->isFinal);
         }
         if (const forward_failure* failure = std::get_if<forward_failure>(&value.outcome))
             header.add("failure", failure->message);
@@ -463,6 +463,7 @@
         refusal.reason = readReason(reader);
         refusal.retryAfter = readDuration(reader, "retry_after_us");
         refusal.reachedUpstream = reader.boolean("reached");
+        refusal.isFinal = reader.boolean("final");
         return refusal;
     }
     return forward_failure { reader.text("failure", maxTextBytes) };
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -185,6 +185,7 @@
     refusal_reason reason = refusal_reason::overloaded;
     milliseconds retryAfter; /*!< When room is expected. */
     bool reachedUpstream = false; /*!< The upstream itself refused it. */
+    bool isFinal = false; /*!< No other upstream is expected to have room either. */
 };
 
 /** @brief The request was sent to the upstream and got no whole answer; it may have run. */
