--- a/src/knapweedcroft/gateway/call_dependence.hpp
+++ b/src/knapweedcroft/gateway/call_dependence.hpp
@@ -12,8 +12,8 @@
  * @brief Learns which entries of an upstream depend on the calls that the upstream makes.
  *
  * A call carries no mark of the request that made it. While a good part of the calls of an upstream fail or are late,
- * the requests that depend on them do so too, and the others go on as before. An entry counts as dependent until its
- * requests have ended well at such a time.
+ * the requests that depend on them do so at least as often, and the others go on as before. What has been learned is kept
+ * while calls end well, because then there is nothing to learn from.
  */
 class call_dependence {
 public:
@@ -35,17 +35,18 @@
     /**
      * @brief Tells whether requests of an entry depend on calls of the upstream.
      * @param entry The entry.
-     * @return False only if its requests have ended well while calls did not.
+     * @return False only if its requests have ended well while calls did not; an overload that is not met at its start
+     * costs more than some requests that are turned away without need.
      */
     [[nodiscard]] bool isDependent(const std::string& entry) const;
 
 private:
     struct entry_counts {
-        double ended = 0.0;
+        double expected = 0.0; /*!< Bad ends to expect if each request made one call. */
         double bad = 0.0;
     };
 
-    [[nodiscard]] bool areCallsBad(time_point now) const;
+    [[nodiscard]] double badCallShare(time_point now) const;
 
     double m_calls = 0.0; /*!< Recent calls; decays. */
     double m_badCalls = 0.0;
--- a/src/knapweedcroft/gateway/caller_profile.cpp
+++ b/src/knapweedcroft/gateway/caller_profile.cpp
@@ -8,6 +8,8 @@
 static constexpr double mostRequests = 2000.0; // Counts are halved there, so that a changed pattern shows.
 // A service whose hosts have clients sends about an equal share; one without sends only stray requests.
 static constexpr double leastPartOfEqualShare = 0.12;
+// Clients may be missing beside some service; calls between services come from at most two of three.
+static constexpr double clientPart = 0.7;
 
 } // namespace internal
 
@@ -30,12 +32,15 @@
         return entry_origin::unknown;
     const entry_counts& counts = position->second;
     const double equalShare = counts.total / static_cast<double>(m_services.size());
+    std::size_t callers = 0;
     for (const service_name& service : m_services) {
         const auto calls = counts.byCaller.find(service);
-        if (calls == counts.byCaller.end() || calls->second < equalShare * internal::leastPartOfEqualShare)
-            return entry_origin::upstreams;
+        const bool isCaller
+            = calls != counts.byCaller.end() && calls->second >= equalShare * internal::leastPartOfEqualShare;
+        callers += isCaller ? 1U : 0U;
     }
-    return entry_origin::clients;
+    const bool isMost = static_cast<double>(callers) >= internal::clientPart * static_cast<double>(m_services.size());
+    return isMost ? entry_origin::clients : entry_origin::upstreams;
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/caller_profile.hpp
+++ b/src/knapweedcroft/gateway/caller_profile.hpp
@@ -15,7 +15,7 @@
 enum class entry_origin : unsigned char {
     unknown, /*!< Too few requests so far. */
     clients, /*!< Clients, which run on hosts of all services. */
-    upstreams /*!< Upstreams only: some service never sends any. */
+    upstreams /*!< Upstreams only: they come from the hosts of a few services. */
 };
 
 /**
@@ -35,7 +35,7 @@
     void count(const std::string& entry, const service_name& caller, time_point now);
 
     /**
-     * @brief Sets the services that have hosts.
+     * @brief Sets the services that have hosts in the own data centre, from which most requests come.
      * @param services The services.
      */
     void setServices(std::set<service_name> services) { m_services = std::move(services); }
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -301,12 +301,12 @@
         actions.emplace_back(send_to_peer { hello.node, catch_up_request_message { m_table->version(), -1 } });
 }
 
-// Tells the services that have hosts to the profile of callers.
+// Tells the services that have hosts in the own data centre to the profile of callers.
 void gateway_core::updateServices()
 {
     std::set<service_name> services;
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (item.second.isLinked)
+        if (item.second.isLinked && item.second.record.data_centre == m_settings.data_centre)
             services.insert(item.second.record.upstream.service);
     }
     m_served.setServices(std::move(services));
--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -17,6 +17,7 @@
 // Part of the remaining target latency that the own data centre may use before another one is considered.
 static constexpr double ownShare = 0.45;
 // An upstream of another data centre takes what a full one cannot, as long as it keeps some slots for its own.
+static constexpr double leastFree = 0.02; // A full upstream is still taken if all are full.
 static constexpr double freeOccupancy = 0.85;
 // Another data centre is used only if it is predicted to be faster by this factor.
 static constexpr double leastGain = 0.8;
@@ -81,28 +82,37 @@
     return (std::max(reported, outstanding) + 1.0) / slots;
 }
 
-std::optional<std::size_t> placement::choose(
-    const std::vector<placement_candidate>& candidates, const placement_request& request, time_point now)
+// Shares the requests among several upstreams by their speed and free slots. Always taking the best one would send all
+// requests of a moment to one upstream, and none to one that is not known yet.
+std::optional<std::size_t> placement::pick(
+    const std::vector<placement_candidate>& candidates, const std::string& entry, bool isOwn, time_point now)
 {
-    std::optional<std::size_t> own;
-    std::optional<std::size_t> other;
-    double ownTime = 0.0;
-    double otherTime = 0.0;
-    const std::size_t offset = candidates.empty() ? 0 : m_random() % candidates.size();
-    for (std::size_t step = 0; step < candidates.size(); ++step) {
-        const std::size_t position = (offset + step) % candidates.size();
+    std::optional<std::size_t> picked;
+    double total = 0.0;
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
         const placement_candidate& candidate = candidates[position];
-        const double time = predict(candidate, request.entry, now).count();
-        const bool isOwn = candidate.data_centre == m_ownDataCentre;
-        std::optional<std::size_t>& best = isOwn ? own : other;
-        double& bestTime = isOwn ? ownTime : otherTime;
-        if (!best || time < bestTime) {
-            best = position;
-            bestTime = time;
-        }
+        if ((candidate.data_centre == m_ownDataCentre) != isOwn)
+            continue;
+        const double time = std::max(1.0, predict(candidate, entry, now).count());
+        const double free = std::max(internal::leastFree, 1.0 - occupancy(candidate));
+        const double weight = free * static_cast<double>(std::max(1U, candidate.load.slots)) / (time * time);
+        total += weight;
+        std::uniform_real_distribution<double> range { 0.0, total };
+        if (range(m_random) < weight)
+            picked = position;
     }
+    return picked;
+}
+
+std::optional<std::size_t> placement::choose(
+    const std::vector<placement_candidate>& candidates, const placement_request& request, time_point now)
+{
+    const std::optional<std::size_t> own = pick(candidates, request.entry, true, now);
+    const std::optional<std::size_t> other = pick(candidates, request.entry, false, now);
     if (!own || !other)
         return own ? own : other;
+    const double ownTime = predict(candidates[*own], request.entry, now).count();
+    const double otherTime = predict(candidates[*other], request.entry, now).count();
     const bool isOwnSlow = ownTime > internal::ownShare * request.target.count();
     const bool isOwnFull = occupancy(candidates[*own]) >= 1.0;
     const bool isOtherFree = occupancy(candidates[*other]) < internal::freeOccupancy;
--- a/src/knapweedcroft/gateway/placement.hpp
+++ b/src/knapweedcroft/gateway/placement.hpp
@@ -106,6 +106,8 @@
     };
 
     [[nodiscard]] double expectedTime(const node_measurements* measured, const std::string& entry, time_point now) const;
+    [[nodiscard]] std::optional<std::size_t> pick(
+        const std::vector<placement_candidate>& candidates, const std::string& entry, bool isOwn, time_point now);
     [[nodiscard]] double occupancy(const placement_candidate& candidate) const;
     [[nodiscard]] double recentFailures(const node_measurements* measured, time_point now) const;
     [[nodiscard]] const node_measurements* find(const node_name& node) const;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -81,7 +81,7 @@
 // Calls of upstreams are always let through, because the work that they belong to would be lost.
 bool served_requests::isTurnedAway(const forward_request& message, time_point now)
 {
-    if (m_callers.originOf(message.entry) == entry_origin::upstreams)
+    if (m_callers.originOf(message.entry) != entry_origin::clients)
         return false;
     const double share = admittedShare(roomFor(message.entry, now), message.rank);
     double& credit = m_credits.try_emplace(message.entry, 1.0).first->second;
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -86,7 +86,7 @@
     void upstreamChanged(time_point now, gateway_actions& actions);
 
     /**
-     * @brief Sets the services that have hosts.
+     * @brief Sets the services that have hosts in the own data centre.
      * @param services The services.
      */
     void setServices(std::set<service_name> services) { m_callers.setServices(std::move(services)); }
