--- /dev/null
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -0,0 +1,97 @@
+#include "knapweedcroft/gateway/node_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace knapweedcroft {
+
+namespace {
+
+[[nodiscard]] directory_record record(const std::string& node, std::int64_t startedAt, std::int64_t writtenAt)
+{
+    directory_record value;
+    value.node = node;
+    value.peerAddress = "127.0.0.1:1";
+    value.data_centre = "z1";
+    value.writtenAt = writtenAt;
+    value.upstream.service = "visits";
+    value.upstream.incarnation = { "u" + std::to_string(startedAt), startedAt };
+    value.upstream.address = "127.0.0.1:2";
+    value.upstream.slots = 8;
+    return value;
+}
+
+[[nodiscard]] hello_message hello(const std::string& node)
+{
+    hello_message value;
+    value.node = node;
+    value.service = "visits";
+    value.data_centre = "z1";
+    value.peerAddress = "127.0.0.1:1";
+    return value;
+}
+
+[[nodiscard]] upstream_status_message status(std::int64_t startedAt, bool isServing)
+{
+    upstream_status_message value;
+    value.upstream = "u" + std::to_string(startedAt);
+    value.startedAt = startedAt;
+    value.isServing = isServing;
+    value.load.slots = 8;
+    return value;
+}
+
+} // namespace
+
+// Stale reads of the store and late copies from peers must not bring back a former upstream.
+TEST(NodeDirectory, NewerRecordsWinWhicheverWayTheyCome)
+{
+    node_directory directory;
+    EXPECT_TRUE(directory.apply(record("n", 200, 10)));
+    EXPECT_FALSE(directory.apply(record("n", 100, 20)));
+    EXPECT_FALSE(directory.apply(record("n", 200, 9)));
+    EXPECT_EQ(directory.find("n")->record.upstream.incarnation.startedAt, 200);
+    EXPECT_TRUE(directory.apply(record("n", 300, 30)));
+}
+
+TEST(NodeDirectory, TheLinkIsAheadOfTheRecord)
+{
+    node_directory directory;
+    directory.linked(hello("n"));
+    EXPECT_TRUE(directory.update("n", status(200, false)));
+    directory.apply(record("n", 200, 10));
+    EXPECT_FALSE(directory.find("n")->isServing);
+    EXPECT_TRUE(directory.update("n", status(200, true)));
+    EXPECT_TRUE(directory.find("n")->isServing);
+}
+
+TEST(NodeDirectory, KeepsALinkedNodeThatWithdrewItsRecord)
+{
+    node_directory directory;
+    directory.apply(record("n", 200, 10));
+    directory.linked(hello("n"));
+    directory.withdraw("n");
+    EXPECT_NE(directory.find("n"), nullptr);
+    directory.unlinked("n");
+    directory.withdraw("n");
+    EXPECT_EQ(directory.find("n"), nullptr);
+}
+
+TEST(NodeDirectory, TellsAnotherNodeAllItsRecords)
+{
+    node_directory directory;
+    directory.apply(record("a", 100, 1));
+    directory.apply(record("b", 200, 2));
+    const result<std::vector<directory_record>> copies = node_directory::parseAll(directory.format());
+    ASSERT_TRUE(hasValue(copies));
+    ASSERT_EQ(valueOf(copies).size(), 2U);
+    EXPECT_EQ(valueOf(copies)[1].format(), record("b", 200, 2).format());
+}
+
+TEST(NodeDirectory, RefusesMalformedRecords)
+{
+    for (const char* text : { "", "7", "{}", R"({"node":"n"})", R"({"node":7,"peer_address":"x"})" })
+        EXPECT_FALSE(hasValue(directory_record::parse(text))) << text;
+    EXPECT_FALSE(hasValue(node_directory::parseAll(R"([{"node":"n"}])")));
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/test/knapweedcroft/gateway/upstream_queue.cpp
@@ -0,0 +1,152 @@
+#include "knapweedcroft/gateway/upstream_queue.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace knapweedcroft {
+
+namespace {
+
+[[nodiscard]] time_point at(std::int64_t time) { return time_point { milliseconds { time } }; }
+
+[[nodiscard]] slot_request request(std::uint64_t id, std::int64_t target, std::int64_t deadline)
+{
+    slot_request value;
+    value.id = id;
+    value.entry = "entry";
+    value.target = at(target);
+    value.deadline = at(deadline);
+    return value;
+}
+
+[[nodiscard]] std::vector<std::uint64_t> started(const slot_decisions& decisions)
+{
+    std::vector<std::uint64_t> ids;
+    for (const slot_decision& decision : decisions) {
+        if (const start_request* start = std::get_if<start_request>(&decision))
+            ids.push_back(start->id);
+    }
+    return ids;
+}
+
+[[nodiscard]] std::vector<std::uint64_t> refused(const slot_decisions& decisions)
+{
+    std::vector<std::uint64_t> ids;
+    for (const slot_decision& decision : decisions) {
+        if (const refuse_request* refuse = std::get_if<refuse_request>(&decision))
+            ids.push_back(refuse->id);
+    }
+    return ids;
+}
+
+using id_list = std::vector<std::uint64_t>;
+
+} // namespace
+
+// The upstream's own queue sheds at random, so it must never get more requests than slots.
+TEST(UpstreamQueue, NeverStartsMoreThanTheSlots)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(2, at(0)));
+    EXPECT_EQ(started(queue.offer(request(1, 1000, 2000), at(0))), id_list { 1 });
+    EXPECT_EQ(started(queue.offer(request(2, 1000, 2000), at(0))), id_list { 2 });
+    EXPECT_TRUE(queue.offer(request(3, 1000, 2000), at(0)).empty());
+    EXPECT_EQ(queue.load().running, 2U);
+    EXPECT_EQ(started(queue.release(1, true, at(50))), id_list { 3 });
+}
+
+// A lookup with a short target must not wait behind calls that still have time.
+TEST(UpstreamQueue, StartsWhatIsDueFirst)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    static_cast<void>(queue.offer(request(1, 1000, 2000), at(0)));
+    static_cast<void>(queue.offer(request(2, 900, 2000), at(0)));
+    static_cast<void>(queue.offer(request(3, 300, 2000), at(0)));
+    EXPECT_EQ(started(queue.release(1, true, at(20))), id_list { 3 });
+}
+
+TEST(UpstreamQueue, RefusesAtOnceWhatCannotMeetItsDeadline)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    const slot_decisions decisions = queue.offer(request(1, 1, 2), at(0));
+    EXPECT_EQ(refused(decisions), id_list { 1 });
+    EXPECT_LT(milliseconds {}, std::get<refuse_request>(decisions.front()).retryAfter);
+}
+
+// A request that another upstream can take must not wait for an answer that would be late.
+TEST(UpstreamQueue, HandsLateRequestsToAnAlternativeAtOnce)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    static_cast<void>(queue.offer(request(1, 1000, 2000), at(0)));
+    slot_request second = request(2, 25, 2000);
+    second.hasAlternative = true;
+    EXPECT_EQ(refused(queue.offer(second, at(0))), id_list { 2 });
+}
+
+// Nothing is held past an eighth of its target latency without a chance to be served within it.
+TEST(UpstreamQueue, RefusesAfterAnEighthOfTheTargetWithoutAChance)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    static_cast<void>(queue.offer(request(1, 1000, 5000), at(0)));
+    for (std::uint64_t id = 2; id < 40; ++id)
+        static_cast<void>(queue.offer(request(id, 160, 5000), at(0)));
+    EXPECT_GT(queue.load().queued, 30U);
+    EXPECT_FALSE(refused(queue.poll(at(21))).empty());
+    EXPECT_LT(queue.load().queued, 10U);
+}
+
+// A call of a request in progress waits as long as it can still be of use, since other work would be lost with it.
+TEST(UpstreamQueue, KeepsInvestedCallsUntilTheirDeadline)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    static_cast<void>(queue.offer(request(1, 1000, 5000), at(0)));
+    slot_request call = request(2, 25, 700);
+    call.isInvested = true;
+    EXPECT_TRUE(queue.offer(call, at(0)).empty());
+    EXPECT_TRUE(queue.poll(at(600)).empty());
+    EXPECT_EQ(refused(queue.poll(at(695))), id_list { 2 });
+}
+
+TEST(UpstreamQueue, RefusesAllForALeavingUpstream)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        static_cast<void>(queue.offer(request(id, 1000, 5000), at(0)));
+    EXPECT_EQ(refused(queue.refuseAll(refusal_reason::draining)), (id_list { 2, 3 }));
+    EXPECT_EQ(queue.load().queued, 0U);
+    EXPECT_EQ(queue.load().running, 1U);
+}
+
+TEST(UpstreamQueue, WithdrawsWaitingAndRunningRequests)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        static_cast<void>(queue.offer(request(id, 1000, 5000), at(0)));
+    EXPECT_TRUE(queue.release(2, false, at(1)).empty());
+    EXPECT_EQ(started(queue.release(1, false, at(2))), id_list { 3 });
+    EXPECT_EQ(queue.serviceTime("entry"), milliseconds { 20 });
+}
+
+// The wake-up must not move on with each event, or nothing that waits is reviewed under load.
+TEST(UpstreamQueue, IsDueAtAFixedTimeAfterTheLastReview)
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(1, at(0)));
+    static_cast<void>(queue.poll(at(100)));
+    static_cast<void>(queue.offer(request(1, 1000, 5000), at(101)));
+    EXPECT_FALSE(queue.nextWakeup());
+    static_cast<void>(queue.offer(request(2, 1000, 5000), at(110)));
+    static_cast<void>(queue.offer(request(3, 1000, 5000), at(115)));
+    ASSERT_TRUE(queue.nextWakeup());
+    EXPECT_EQ(*queue.nextWakeup(), at(120));
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/test/knapweedcroft/gateway/upstream_registry.cpp
@@ -0,0 +1,114 @@
+#include "knapweedcroft/gateway/upstream_registry.hpp"
+
+#include <gtest/gtest.h>
+
+namespace knapweedcroft {
+
+class upstream_registry_test : public testing::Test {
+protected:
+    upstream_registry_test()
+        : m_charts { valueOf(loadCharts(KNAPWEEDCROFT_SOURCE_DIRECTORY "/charts")) }
+        , m_registry { m_charts.upstream, milliseconds { 5000 } }
+    {
+    }
+
+    [[nodiscard]] static time_point at(std::int64_t time) { return time_point { milliseconds { time } }; }
+
+    [[nodiscard]] static upstream_announcement announcement(
+        const std::string& id, std::int64_t startedAt, std::int64_t sequence)
+    {
+        upstream_announcement value;
+        value.incarnation = { id, startedAt };
+        value.slots = 8;
+        value.sequence = sequence;
+        return value;
+    }
+
+    chart_set m_charts;
+    upstream_registry m_registry;
+};
+
+TEST_F(upstream_registry_test, ServesAfterTheFirstAnnouncement)
+{
+    EXPECT_FALSE(m_registry.isServing());
+    EXPECT_EQ(m_registry.announce(announcement("a", 100, 1), at(1)), announcement_effect::changed);
+    EXPECT_TRUE(m_registry.isServing());
+    EXPECT_EQ(m_registry.announce(announcement("a", 100, 2), at(2)), announcement_effect::unchanged);
+}
+
+// A late announcement of "serving" must not bring back an upstream that is leaving.
+TEST_F(upstream_registry_test, IgnoresAnnouncementsOutOfOrder)
+{
+    m_registry.announce(announcement("a", 100, 1), at(1));
+    upstream_announcement leaving = announcement("a", 100, 3);
+    leaving.state = upstream_state::draining;
+    EXPECT_EQ(m_registry.announce(leaving, at(2)), announcement_effect::changed);
+    EXPECT_EQ(m_registry.announce(announcement("a", 100, 2), at(3)), announcement_effect::stale);
+    EXPECT_FALSE(m_registry.isServing());
+}
+
+TEST_F(upstream_registry_test, IgnoresAnOlderStart)
+{
+    m_registry.announce(announcement("new", 200, 1), at(1));
+    EXPECT_EQ(m_registry.announce(announcement("old", 100, 50), at(2)), announcement_effect::stale);
+    EXPECT_EQ(m_registry.present()->incarnation.id, "new");
+}
+
+// An upstream that starts again under its former identifier counts its announcements anew.
+TEST_F(upstream_registry_test, TakesANewStartUnderTheSameIdentifier)
+{
+    m_registry.announce(announcement("a", 100, 40), at(1));
+    m_registry.leave("a", at(2));
+    EXPECT_EQ(m_registry.announce(announcement("a", 200, 1), at(3)), announcement_effect::changed);
+    EXPECT_TRUE(m_registry.isServing());
+}
+
+TEST_F(upstream_registry_test, RecognisesARestartWithoutAStartTimeByItsSequence)
+{
+    m_registry.announce(announcement("a", 0, 40), at(1));
+    EXPECT_EQ(m_registry.announce(announcement("a", 0, 1), at(2)), announcement_effect::stale);
+    EXPECT_NE(m_registry.announce(announcement("a", 0, 2), at(3)), announcement_effect::stale);
+    EXPECT_EQ(m_registry.announce(announcement("a", 0, 3), at(4)), announcement_effect::unchanged);
+}
+
+// An announcement of an upstream that has ended may be delivered after its successor's first one.
+TEST_F(upstream_registry_test, IgnoresAFormerUpstreamWithoutAStartTime)
+{
+    m_registry.announce(announcement("old", 0, 40), at(1));
+    m_registry.announce(announcement("new", 0, 1), at(2));
+    EXPECT_EQ(m_registry.announce(announcement("old", 0, 41), at(3)), announcement_effect::stale);
+    EXPECT_EQ(m_registry.present()->incarnation.id, "new");
+}
+
+TEST_F(upstream_registry_test, StaysAwayAfterItsLeave)
+{
+    m_registry.announce(announcement("a", 100, 1), at(1));
+    EXPECT_FALSE(m_registry.leave("b", at(2)));
+    EXPECT_TRUE(m_registry.leave("a", at(2)));
+    EXPECT_FALSE(m_registry.leave("a", at(3)));
+    EXPECT_EQ(m_registry.announce(announcement("a", 100, 2), at(4)), announcement_effect::stale);
+    EXPECT_FALSE(m_registry.isServing());
+}
+
+TEST_F(upstream_registry_test, BecomesSilentAndComesBack)
+{
+    m_registry.announce(announcement("a", 100, 1), at(0));
+    EXPECT_FALSE(m_registry.poll(at(4999)));
+    EXPECT_TRUE(m_registry.poll(at(5000)));
+    EXPECT_FALSE(m_registry.isServing());
+    EXPECT_EQ(m_registry.announce(announcement("a", 100, 2), at(6000)), announcement_effect::changed);
+    EXPECT_TRUE(m_registry.isServing());
+}
+
+// A node that starts again beside a living upstream serves it at once; the first announcement confirms or corrects it.
+TEST_F(upstream_registry_test, AssumesTheUpstreamOfAnEarlierProcess)
+{
+    EXPECT_TRUE(m_registry.assume(announcement("a", 100, 0), at(1)));
+    EXPECT_TRUE(m_registry.isServing());
+    EXPECT_EQ(m_registry.announce(announcement("a", 100, 17), at(2)), announcement_effect::unchanged);
+    EXPECT_FALSE(m_registry.assume(announcement("b", 200, 0), at(3)));
+    EXPECT_TRUE(m_registry.missing("a"));
+    EXPECT_FALSE(m_registry.isServing());
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -0,0 +1,207 @@
+#include "knapweedcroft/http/exchange_client.hpp"
+
+#include "../net/test_servers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace knapweedcroft {
+
+namespace {
+
+// Answers each request with the next text of a list; a text may hold several responses or a part of one.
+class scripted_server : public test_listener {
+public:
+    explicit scripted_server(event_loop& loop)
+        : test_listener { loop }
+    {
+    }
+
+    struct step {
+        std::string text;
+        bool closes = false;
+    };
+
+    std::vector<step> script;
+    std::size_t requests = 0;
+    std::size_t connections = 0;
+    std::size_t closed = 0;
+
+    void writeToAll(const std::string& text)
+    {
+        for (const std::unique_ptr<connection>& item : m_connections)
+            bufferevent_write(item->stream.get(), text.data(), text.size());
+    }
+
+protected:
+    void accept(evutil_socket_t socket) override
+    {
+        ++connections;
+        m_connections.push_back(std::make_unique<connection>(connection { *this, makeStream(socket) }));
+        bufferevent* stream = m_connections.back()->stream.get();
+        bufferevent_setcb(stream, &scripted_server::onRead, &scripted_server::onWritten, &scripted_server::onEvent,
+            m_connections.back().get());
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+    }
+
+private:
+    struct connection {
+        scripted_server& owner;
+        stream_owner stream;
+        bool closes = false;
+    };
+
+    static void onRead(bufferevent* stream, void* argument)
+    {
+        connection& self = *static_cast<connection*>(argument);
+        evbuffer* input = bufferevent_get_input(stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        if (self.owner.requests >= self.owner.script.size())
+            return;
+        const step& next = self.owner.script[self.owner.requests++];
+        self.closes = next.closes;
+        bufferevent_write(stream, next.text.data(), next.text.size());
+    }
+
+    static void onWritten(bufferevent*, void* argument)
+    {
+        connection& self = *static_cast<connection*>(argument);
+        if (self.closes)
+            self.stream.reset();
+    }
+
+    static void onEvent(bufferevent*, short, void* argument) { ++static_cast<connection*>(argument)->owner.closed; }
+
+    std::vector<std::unique_ptr<connection>> m_connections;
+};
+
+[[nodiscard]] std::string response(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+class exchange_client_test : public testing::Test {
+protected:
+    exchange_outcome exchange(const std::string& id)
+    {
+        std::optional<exchange_outcome> outcome;
+        const opaque_request request { "GET", "/", { { "Id", id } }, "" };
+        m_client.start(
+            m_server.address(), request,
+            [id](const opaque_response& got) { return findHeader(got.headers, "Id").value_or(id) == id; },
+            [&outcome](exchange_outcome got) { outcome = std::move(got); });
+        m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 });
+        return outcome.value_or(exchange_failure { true, error { error_kind::timed_out, "the test waited in vain" } });
+    }
+
+    [[nodiscard]] static std::string bodyOf(const exchange_outcome& outcome)
+    {
+        const opaque_response* got = std::get_if<opaque_response>(&outcome);
+        return got == nullptr ? "failed: " + std::get<exchange_failure>(outcome).cause.message : got->body;
+    }
+
+    event_loop m_loop;
+    scripted_server m_server { m_loop };
+    exchange_client m_client { m_loop, exchange_client_settings {} };
+};
+
+TEST_F(exchange_client_test, ReusesAConnection)
+{
+    m_server.script = { { response("1", "a") }, { response("2", "b") } };
+    EXPECT_EQ(bodyOf(exchange("1")), "a");
+    EXPECT_EQ(bodyOf(exchange("2")), "b");
+    EXPECT_EQ(m_server.connections, 1U);
+}
+
+// A caller must never get the answer to a request of somebody else that came late on a kept connection.
+TEST_F(exchange_client_test, DropsTheLateAnswerToAnotherRequest)
+{
+    m_server.script = { { response("1", "a") }, { response("1", "again") + response("2", "b") } };
+    EXPECT_EQ(bodyOf(exchange("1")), "a");
+    EXPECT_EQ(bodyOf(exchange("2")), "b");
+    EXPECT_EQ(m_client.counters().foreign, 1U);
+}
+
+// Bytes behind a complete answer belong to no request, so the connection that carried them must not be used again.
+TEST_F(exchange_client_test, ClosesAConnectionWithSurplusBytes)
+{
+    m_server.script = { { response("1", "a") + "surplus" }, { response("2", "b") } };
+    EXPECT_EQ(bodyOf(exchange("1")), "a");
+    EXPECT_EQ(bodyOf(exchange("2")), "b");
+    EXPECT_EQ(m_server.connections, 2U);
+}
+
+TEST_F(exchange_client_test, ClosesAnIdleConnectionThatCarriesBytes)
+{
+    m_server.script = { { response("1", "a") }, { response("2", "b") } };
+    EXPECT_EQ(bodyOf(exchange("1")), "a");
+    m_server.writeToAll(response("1", "late"));
+    m_loop.runUntil([this] { return m_client.counters().surplus == 1; }, milliseconds { 5000 });
+    EXPECT_EQ(bodyOf(exchange("2")), "b");
+    EXPECT_EQ(m_server.connections, 2U);
+}
+
+// An answer without a length is complete only if the server closed the connection in order.
+TEST_F(exchange_client_test, CompletesAnAnswerThatEndsWithItsConnection)
+{
+    m_server.script = { { "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole", true } };
+    EXPECT_EQ(bodyOf(exchange("1")), "whole");
+}
+
+struct broken_answer {
+    const char* name;
+    const char* text;
+};
+
+// A part of an answer must never be passed on as a whole one.
+TEST_F(exchange_client_test, FailsOnBrokenAnswers)
+{
+    const std::vector<broken_answer> rows { { "cut off", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc" },
+        { "cut off in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc" },
+        { "not a response", "garbage\r\n\r\n" }, { "nothing", "" },
+        { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc" } };
+    for (const broken_answer& row : rows) {
+        m_server.script.push_back({ row.text, true });
+        if (m_server.script.back().text.empty())
+            m_server.script.back().text = "\r\n";
+        const exchange_outcome outcome = exchange("1");
+        ASSERT_TRUE(std::holds_alternative<exchange_failure>(outcome)) << row.name;
+        EXPECT_TRUE(std::get<exchange_failure>(outcome).wasWritten) << row.name;
+    }
+    EXPECT_EQ(m_server.requests, rows.size());
+}
+
+// "Not run" may be said only if no byte was written.
+TEST_F(exchange_client_test, TellsThatNothingWasWrittenWithoutAConnection)
+{
+    std::string address;
+    {
+        scripted_server gone { m_loop };
+        address = gone.address();
+    }
+    std::optional<exchange_outcome> outcome;
+    m_client.start(
+        address, opaque_request { "GET", "/", {}, "" }, [](const opaque_response&) { return true; },
+        [&outcome](exchange_outcome got) { outcome = std::move(got); });
+    ASSERT_TRUE(m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 }));
+    ASSERT_TRUE(std::holds_alternative<exchange_failure>(*outcome));
+    EXPECT_FALSE(std::get<exchange_failure>(*outcome).wasWritten);
+}
+
+// The upstream notices that nobody waits any more by the close of the connection.
+TEST_F(exchange_client_test, ClosesTheConnectionOfACancelledExchange)
+{
+    const std::uint64_t exchange = m_client.start(
+        m_server.address(), opaque_request { "GET", "/", {}, "" }, [](const opaque_response&) { return true; },
+        [](const exchange_outcome&) { FAIL() << "a cancelled exchange has no outcome"; });
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_server.connections == 1; }, milliseconds { 5000 }));
+    m_client.cancel(exchange);
+    EXPECT_TRUE(m_loop.runUntil([this] { return m_server.closed == 1; }, milliseconds { 5000 }));
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/test/knapweedcroft/http/pipelined_server.cpp
@@ -0,0 +1,201 @@
+#include "knapweedcroft/http/pipelined_server.hpp"
+
+#include "knapweedcroft/http/internal/bufferevent_owner.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace knapweedcroft {
+
+namespace {
+
+// A client that writes bytes as they are and collects what comes back.
+class raw_client {
+public:
+    raw_client(event_loop& loop, const std::string& address)
+        : m_stream { bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE) }
+    {
+        sockaddr_storage target {};
+        int size = sizeof(target);
+        evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&target), &size);
+        const auto onRead = [](bufferevent* stream, void* argument) {
+            raw_client& self = *static_cast<raw_client*>(argument);
+            evbuffer* input = bufferevent_get_input(stream);
+            std::string bytes(evbuffer_get_length(input), '\0');
+            evbuffer_remove(input, bytes.data(), bytes.size());
+            self.m_received += bytes;
+        };
+        const auto onEvent = [](bufferevent*, short what, void* argument) {
+            if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+                static_cast<raw_client*>(argument)->m_isClosed = true;
+        };
+        bufferevent_setcb(m_stream.get(), onRead, nullptr, onEvent, this);
+        bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
+        bufferevent_socket_connect(m_stream.get(), reinterpret_cast<sockaddr*>(&target), size);
+    }
+
+    void send(const std::string& text) { bufferevent_write(m_stream.get(), text.data(), text.size()); }
+    void close() { m_stream.reset(); }
+    [[nodiscard]] const std::string& received() const { return m_received; }
+    [[nodiscard]] bool isClosed() const { return m_isClosed; }
+
+private:
+    internal::stream_owner m_stream;
+    std::string m_received;
+    bool m_isClosed = false;
+};
+
+[[nodiscard]] std::string get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"; }
+
+} // namespace
+
+class pipelined_server_test : public testing::Test {
+protected:
+    pipelined_server_test()
+    {
+        pipelined_server_handlers handlers;
+        handlers.received = [this](std::uint64_t number, opaque_request request) {
+            m_numbers.emplace(request.target, number);
+            m_bodies.emplace(request.target, request.body);
+        };
+        handlers.abandoned = [this](std::uint64_t number) { m_abandoned.push_back(number); };
+        handlers.rejected = [](const parse_fault& fault) { return opaque_response { fault.status, {}, "rejected" }; };
+        pipelined_server_limits limits;
+        limits.message.maxBodyBytes = 100;
+        limits.headerTime = milliseconds { 200 };
+        m_server = std::make_unique<pipelined_server>(m_loop, limits, handlers);
+        m_address = valueOf(m_server->listen("127.0.0.1", 0));
+    }
+
+    template <typename Condition> bool waitFor(Condition&& condition)
+    {
+        return m_loop.runUntil(condition, milliseconds { 5000 });
+    }
+
+    void answer(const std::string& path, bool closes = false)
+    {
+        m_server->answer(m_numbers.at(path), opaque_response { 200, {}, "answer to " + path }, closes);
+    }
+
+    event_loop m_loop;
+    std::unique_ptr<pipelined_server> m_server;
+    std::string m_address;
+    std::map<std::string, std::uint64_t> m_numbers;
+    std::map<std::string, std::string> m_bodies;
+    std::vector<std::uint64_t> m_abandoned;
+};
+
+// A slow first request must not hold up the work on those behind it, and answers must not overtake each other.
+TEST_F(pipelined_server_test, WorksOnPipelinedRequestsTogetherAndAnswersInOrder)
+{
+    raw_client client { m_loop, m_address };
+    client.send(get("/1") + get("/2") + get("/3"));
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 3; }));
+    answer("/3");
+    answer("/2");
+    m_loop.runUntil([] { return false; }, milliseconds { 20 });
+    EXPECT_EQ(client.received(), "");
+    answer("/1");
+    ASSERT_TRUE(waitFor([&client] { return client.received().find("answer to /3") != std::string::npos; }));
+    EXPECT_LT(client.received().find("answer to /1"), client.received().find("answer to /2"));
+    EXPECT_LT(client.received().find("answer to /2"), client.received().find("answer to /3"));
+}
+
+// Work for a client that has left is wasted, also if it left behind further pipelined bytes.
+TEST_F(pipelined_server_test, ReportsTheCloseOfAClientForEachOpenRequest)
+{
+    raw_client client { m_loop, m_address };
+    client.send(get("/1") + get("/2") + "GET /incomplete HT");
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 2; }));
+    client.close();
+    ASSERT_TRUE(waitFor([this] { return m_abandoned.size() == 2; }));
+    EXPECT_EQ(m_server->pendingCount(), 0U);
+    EXPECT_EQ(m_server->connectionCount(), 0U);
+}
+
+// Requests behind an answer that closes the connection count as not read, so their work is given up.
+TEST_F(pipelined_server_test, AbandonsWhatIsBehindAClosingAnswer)
+{
+    raw_client client { m_loop, m_address };
+    client.send(get("/1") + get("/2"));
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 2; }));
+    answer("/1", true);
+    ASSERT_TRUE(waitFor([&client] { return client.isClosed(); }));
+    EXPECT_NE(client.received().find("Connection: close"), std::string::npos);
+    ASSERT_EQ(m_abandoned.size(), 1U);
+    EXPECT_EQ(m_abandoned.front(), m_numbers.at("/2"));
+}
+
+TEST_F(pipelined_server_test, DecodesChunkedBodies)
+{
+    raw_client client { m_loop, m_address };
+    client.send("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    client.send("2\r\nde\r\n0\r\n\r\n" + get("/after"));
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 2; }));
+    EXPECT_EQ(m_bodies.at("/c"), "abcde");
+}
+
+TEST_F(pipelined_server_test, AsksForTheBodyOfAClientThatWaits)
+{
+    raw_client client { m_loop, m_address };
+    client.send("POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    ASSERT_TRUE(waitFor([&client] { return client.received().find("100 Continue") != std::string::npos; }));
+    client.send("ab");
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 1; }));
+    EXPECT_EQ(m_bodies.at("/e"), "ab");
+}
+
+TEST_F(pipelined_server_test, AnswersAnInvalidRequestAfterTheValidOnesBeforeIt)
+{
+    raw_client client { m_loop, m_address };
+    client.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x'));
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 1; }));
+    answer("/1");
+    ASSERT_TRUE(waitFor([&client] { return client.isClosed(); }));
+    EXPECT_LT(client.received().find("answer to /1"), client.received().find("HTTP/1.1 413"));
+}
+
+TEST_F(pipelined_server_test, AnswersAHeaderThatDoesNotEndInTime)
+{
+    raw_client client { m_loop, m_address };
+    client.send("GET /slow HTTP/1.1\r\nHost:");
+    ASSERT_TRUE(waitFor([&client] { return client.isClosed(); }));
+    EXPECT_EQ(client.received().find("HTTP/1.1 408"), 0U);
+}
+
+// During a planned stop a client must learn with its answer that it has to open a connection elsewhere.
+TEST_F(pipelined_server_test, ClosesConnectionsWhileDraining)
+{
+    raw_client busy { m_loop, m_address };
+    raw_client idle { m_loop, m_address };
+    busy.send(get("/1"));
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 1 && m_server->connectionCount() == 2; }));
+    m_server->startDraining();
+    m_server->closeIdle();
+    ASSERT_TRUE(waitFor([&idle] { return idle.isClosed(); }));
+    EXPECT_FALSE(busy.isClosed());
+    answer("/1");
+    ASSERT_TRUE(waitFor([&busy] { return busy.isClosed(); }));
+    EXPECT_NE(busy.received().find("answer to /1"), std::string::npos);
+}
+
+TEST_F(pipelined_server_test, LeavesOutTheBodyOfAnAnswerToHead)
+{
+    raw_client client { m_loop, m_address };
+    client.send("HEAD /h HTTP/1.1\r\nHost: h\r\n\r\n" + get("/1"));
+    ASSERT_TRUE(waitFor([this] { return m_numbers.size() == 2; }));
+    m_server->answer(m_numbers.at("/h"), opaque_response { 200, { { "Content-Length", "9" } }, "" });
+    answer("/1");
+    ASSERT_TRUE(waitFor([&client] { return client.received().find("answer to /1") != std::string::npos; }));
+    EXPECT_NE(client.received().find("Content-Length: 9\r\n\r\nHTTP/1.1 200"), std::string::npos);
+}
+
+} // namespace knapweedcroft
