Tell entries that make no calls by a fit of calls to requests

Ruled out: fewer bad calls as evidence (there are none while the cut holds), a fit to running time (it grows with the wait of the calls, so the wrong entry got the calls).

--- a/src/knapweedcroft/gateway/call_dependence.cpp
+++ b/src/knapweedcroft/gateway/call_dependence.cpp
@@ -8,11 +8,13 @@
 
 static constexpr double callHalfLife = 400.0; // In ms; about the time that a whole request takes.
 static constexpr double leastCalls = 8.0;
-static constexpr double leastBadShare = 0.08; // Fewer bad calls do not stand out from other causes of bad ends.
+static constexpr double leastBadShare = 0.03; // Fewer bad calls do not stand out from other causes of bad ends.
 static constexpr double leastExpected = 3.0;
 static constexpr double mostExpected = 20.0; // Counts are halved there, so that a changed pattern shows.
 // A dependent request makes at least one call; other causes alone stay far below the share of bad calls.
 static constexpr double dependentPart = 0.25;
+// An entry without calls is fitted to a rate near zero, one with calls to about the mean or above.
+static constexpr double dependentRate = 0.3;
 
 } // namespace internal
 
@@ -48,7 +50,7 @@
 {
     const auto position = m_entries.find(entry);
     if (position == m_entries.end() || position->second.expected < internal::leastExpected)
-        return true;
+        return relativeCallRate(entry) >= internal::dependentRate;
     return position->second.bad >= internal::dependentPart * position->second.expected;
 }
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -24,8 +24,8 @@
 
 } // namespace internal
 
-gateway_core::gateway_core(const gateway_settings& settings, const chart& upstreamChart, std::string peerAddress,
-    incarnation_id incarnation)
+gateway_core::gateway_core(
+    const gateway_settings& settings, const chart& upstreamChart, std::string peerAddress, incarnation_id incarnation)
     : m_settings { settings }
     , m_peerAddress { std::move(peerAddress) }
     , m_incarnation { incarnation }
@@ -58,8 +58,8 @@
         gateway_actions caused;
         std::visit([this, &caused](const auto& typed) { receive(m_settings.node, typed, caused); }, message);
         actions.erase(actions.begin() + static_cast<std::ptrdiff_t>(position));
-        actions.insert(actions.begin() + static_cast<std::ptrdiff_t>(position),
-            std::make_move_iterator(caused.begin()), std::make_move_iterator(caused.end()));
+        actions.insert(actions.begin() + static_cast<std::ptrdiff_t>(position), std::make_move_iterator(caused.begin()),
+            std::make_move_iterator(caused.end()));
         --position;
     }
 }
@@ -170,7 +170,7 @@
 }
 
 void gateway_core::useTable(
-    std::shared_ptr<const entry_table> table, std::string_view origin, gateway_actions& actions)
+    const std::shared_ptr<const entry_table>& table, std::string_view origin, gateway_actions& actions)
 {
     if (table->version() <= m_table->version())
         return;
@@ -216,8 +216,7 @@
 void gateway_core::assumeUpstream(const directory_record& record, gateway_actions& actions)
 {
     const bool isOwn = record.upstream.service == m_settings.service
-        && record.upstream.address == m_settings.upstreamAddress
-        && record.upstream.state == upstream_state::serving;
+        && record.upstream.address == m_settings.upstreamAddress && record.upstream.state == upstream_state::serving;
     if (!isOwn || !m_registry.assume(record.upstream, m_now))
         return;
     m_isPublished = true;
@@ -354,8 +353,8 @@
         if (hasValue(table))
             useTable(std::make_shared<const entry_table>(valueOf(std::move(table))), peer, actions);
         else
-            actions.emplace_back(internal::logLine(log_level::warning, "snapshot_refused",
-                { { "peer", peer }, { "reason", errorOf(table).message } }));
+            actions.emplace_back(internal::logLine(
+                log_level::warning, "snapshot_refused", { { "peer", peer }, { "reason", errorOf(table).message } }));
     }
     const result<std::vector<directory_record>> records = node_directory::parseAll(message.membership);
     if (!hasValue(records)) {
@@ -384,8 +383,7 @@
             chosen = &known;
     }
     if (chosen != nullptr)
-        actions.emplace_back(
-            send_to_peer { chosen->record.node, catch_up_request_message { m_table->version(), -1 } });
+        actions.emplace_back(send_to_peer { chosen->record.node, catch_up_request_message { m_table->version(), -1 } });
 }
 
 // --- time and state
@@ -457,6 +455,7 @@
             { { "id", m_registry.present() ? m_registry.present()->incarnation.id : std::string {} },
                 { "serving", m_registry.isServing() }, { "running", load.running }, { "queued", load.queued },
                 { "slots", load.slots }, { "service_time_ms", load.serviceTime.count() } } },
+        { "room", m_served.describeRoom(m_now) },
         { "origin_requests",
             { { "received", origin.received }, { "answered", origin.answered }, { "refused", origin.refused },
                 { "failed", origin.failed }, { "timed_out", origin.timedOut }, { "abandoned", origin.abandoned },
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -86,7 +86,7 @@
     void receive(const node_name& peer, const catch_up_message& message, gateway_actions& actions);
     template <typename Message> void receive(const node_name&, const Message&, gateway_actions&) { }
 
-    void useTable(std::shared_ptr<const entry_table> table, std::string_view origin, gateway_actions& actions);
+    void useTable(const std::shared_ptr<const entry_table>& table, std::string_view origin, gateway_actions& actions);
     void useRecord(const directory_record& record, gateway_actions& actions);
     void assumeUpstream(const directory_record& record, gateway_actions& actions);
     void announceUpstream(std::string_view cause, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -94,7 +94,7 @@
 
 result<std::string> gateway_runtime::listen()
 {
-    const result<std::string> peers = m_hub.listen(m_settings.peers.host, m_settings.peers.port);
+    result<std::string> peers = m_hub.listen(m_settings.peers.host, m_settings.peers.port);
     if (!hasValue(peers))
         return peers;
     if (m_settings.metrics) {
@@ -104,8 +104,7 @@
             response.body = formatMetrics();
             m_metricsServer.answer(id, response);
         });
-        const result<std::string> metrics
-            = m_metricsServer.listen(m_settings.metrics->host, m_settings.metrics->port);
+        result<std::string> metrics = m_metricsServer.listen(m_settings.metrics->host, m_settings.metrics->port);
         if (!hasValue(metrics))
             return metrics;
     }
@@ -208,9 +207,8 @@
     const std::uint64_t id = action.id;
     const std::uint64_t exchange = m_upstream.start(
         action.address, m_boundary.makeUpstreamRequest(action),
-        [this, requestId = action.requestId](const opaque_response& response) {
-            return m_boundary.isAnswerTo(requestId, response);
-        },
+        [this, requestId = action.requestId](
+            const opaque_response& response) { return m_boundary.isAnswerTo(requestId, response); },
         [this, id](exchange_outcome outcome) {
             m_exchanges.erase(id);
             exchange_ended event;
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -15,8 +15,8 @@
     const upstream_announcement& upstream = record.upstream;
     return { { "node", record.node }, { "peer_address", record.peerAddress }, { "data_centre", record.data_centre },
         { "written_ms", record.writtenAt }, { "service", upstream.service }, { "upstream", upstream.incarnation.id },
-        { "started_ms", upstream.incarnation.startedAt }, { "address", upstream.address },
-        { "slots", upstream.slots }, { "serving", upstream.state == upstream_state::serving } };
+        { "started_ms", upstream.incarnation.startedAt }, { "address", upstream.address }, { "slots", upstream.slots },
+        { "serving", upstream.state == upstream_state::serving } };
 }
 
 [[nodiscard]] static result<directory_record> fromJson(const nlohmann::json& object)
@@ -33,8 +33,7 @@
     record.upstream.address = reader.string("address");
     record.upstream.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, mostSlots));
     record.upstream.data_centre = record.data_centre;
-    record.upstream.state
-        = reader.boolean("serving", false) ? upstream_state::serving : upstream_state::draining;
+    record.upstream.state = reader.boolean("serving", false) ? upstream_state::serving : upstream_state::draining;
     if (const std::optional<error> fault = reader.finishLenient())
         return *fault;
     return record;
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -29,8 +29,7 @@
 
 } // namespace internal
 
-origin_requests::origin_requests(
-    const gateway_settings& settings, node_directory& directory, served_requests& served)
+origin_requests::origin_requests(const gateway_settings& settings, node_directory& directory, served_requests& served)
     : m_settings { settings }
     , m_directory { directory }
     , m_served { served }
@@ -80,6 +79,7 @@
     }
     request.service = m_split.choose(*request.entry);
     request.request = event.request;
+    m_served.noteArrival(request.entry->name, now);
     m_allowance.setNodes(static_cast<std::uint32_t>(m_directory.nodes().size()) + 1);
     m_allowance.noteFirst(request.service, now);
     place(id, now, actions);
@@ -103,12 +103,10 @@
     for (const known_node* known : m_directory.nodesOf(request.service)) {
         const node_name& node = known->record.node;
         const bool isReachable = known->isLinked && known->isServing && known->status.has_value();
-        const bool isTried
-            = std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
+        const bool isTried = std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
         if (!isReachable || isTried)
             continue;
-        candidates.push_back(
-            { node, known->record.data_centre, known->status->load, known->status->warmUpLeft });
+        candidates.push_back({ node, known->record.data_centre, known->status->load, known->status->warmUpLeft });
     }
     return candidates;
 }
@@ -128,8 +126,8 @@
     send(id, candidates[*chosen], hasAlternative, now, actions);
 }
 
-void origin_requests::send(std::uint64_t id, const placement_candidate& target, bool hasAlternative, time_point now,
-    gateway_actions& actions)
+void origin_requests::send(
+    std::uint64_t id, const placement_candidate& target, bool hasAlternative, time_point now, gateway_actions& actions)
 {
     origin_request& request = m_requests.at(id);
     const forward_entry& entry = *request.entry;
@@ -161,8 +159,7 @@
     if (position == m_requests.end() || position->second.node != peer)
         return;
     origin_request& request = position->second;
-    m_served.noteAnswer(
-        request.entry->name, answer, now - request.arrival <= request.entry->targetLatency, now);
+    m_served.noteAnswer(request.entry->name, answer, now - request.arrival <= request.entry->targetLatency, now);
     const opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
     m_placement.ended(peer, request.entry->name,
         response == nullptr ? std::nullopt : std::optional<milliseconds> { answer.upstreamTime }, now);
@@ -195,8 +192,7 @@
     const bool isFirst = !(milliseconds {} < request.retryAfter);
     request.retryAfter = isFirst ? refusal.retryAfter : std::min(request.retryAfter, refusal.retryAfter);
     request.reason = refusal.reason;
-    const bool isGone
-        = refusal.reason == refusal_reason::draining || refusal.reason == refusal_reason::no_upstream;
+    const bool isGone = refusal.reason == refusal_reason::draining || refusal.reason == refusal_reason::no_upstream;
     if (isGone && request.node != m_settings.node)
         m_directory.markNotServing(request.node);
     if (refusal.reachedUpstream) {
@@ -218,8 +214,7 @@
     place(id, now, actions);
 }
 
-void origin_requests::takeFailure(
-    std::uint64_t id, const std::string& cause, time_point now, gateway_actions& actions)
+void origin_requests::takeFailure(std::uint64_t id, const std::string& cause, time_point now, gateway_actions& actions)
 {
     origin_request& request = m_requests.at(id);
     ++request.arrivals;
@@ -302,7 +297,8 @@
             = std::find(event.unwritten.begin(), event.unwritten.end(), call_id { id }) != event.unwritten.end();
         m_placement.ended(event.peer, m_requests.at(id).entry->name, std::nullopt, now);
         if (isUnwritten)
-            takeRefusal(id, forward_refusal { refusal_reason::no_upstream, internal::unknownRoom, false }, now, actions);
+            takeRefusal(
+                id, forward_refusal { refusal_reason::no_upstream, internal::unknownRoom, false }, now, actions);
         else
             takeFailure(id, "the link to the node closed", now, actions);
     }
--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -131,9 +131,8 @@
     if (!upstreamTime)
         return;
     const double sample = upstreamTime->count();
-    const auto average = [sample](double& mean) {
-        mean = mean <= 0.0 ? sample : mean + internal::timeSampleWeight * (sample - mean);
-    };
+    const auto average
+        = [sample](double& mean) { mean = mean <= 0.0 ? sample : mean + internal::timeSampleWeight * (sample - mean); };
     measured_time& own = measured.byEntry[entry];
     average(own.mean);
     own.at = now;
--- a/src/knapweedcroft/gateway/placement.hpp
+++ b/src/knapweedcroft/gateway/placement.hpp
@@ -67,8 +67,8 @@
      * @param upstreamTime Time for which the upstream worked on it; nothing if that is not known.
      * @param now Present time.
      */
-    void ended(const node_name& node, const std::string& entry, std::optional<milliseconds> upstreamTime,
-        time_point now);
+    void ended(
+        const node_name& node, const std::string& entry, std::optional<milliseconds> upstreamTime, time_point now);
 
     /**
      * @brief Takes note that a request failed at an upstream, or was refused by it.
@@ -105,7 +105,8 @@
         std::map<std::string, measured_time> byEntry;
     };
 
-    [[nodiscard]] double expectedTime(const node_measurements* measured, const std::string& entry, time_point now) const;
+    [[nodiscard]] double expectedTime(
+        const node_measurements* measured, const std::string& entry, time_point now) const;
     [[nodiscard]] std::optional<std::size_t> pick(
         const std::vector<placement_candidate>& candidates, const std::string& entry, bool isOwn, time_point now);
     [[nodiscard]] double occupancy(const placement_candidate& candidate) const;
--- a/src/knapweedcroft/gateway/room_control.cpp
+++ b/src/knapweedcroft/gateway/room_control.cpp
@@ -36,8 +36,7 @@
     const double interval = elapsed.count();
     const double measured = offered / (interval * static_cast<double>(sample.slots));
     m_utilization += (1.0 - std::exp(-interval / internal::smoothingTime)) * (measured - m_utilization);
-    const double spare
-        = internal::targetUtilization - m_utilization - sample.wait.count() / internal::fullWait;
+    const double spare = internal::targetUtilization - m_utilization - sample.wait.count() / internal::fullWait;
     constexpr double millisecondsPerSecond = 1000.0;
     const double gain = spare > 0.0 ? internal::increaseGain : internal::decreaseGain;
     const double change = std::max(-2.0, spare) * gain * interval / millisecondsPerSecond;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -93,11 +93,19 @@
     return false;
 }
 
-void served_requests::noteAnswer(
-    const std::string& entry, const forward_answer& answer, bool isTimely, time_point now)
+void served_requests::noteArrival(const std::string& entry, time_point now)
 {
-    if (!answer.isForCalls)
+    if (m_calledEntries.count(entry) != 0)
+        m_dependence.called(now);
+}
+
+void served_requests::noteAnswer(const std::string& entry, const forward_answer& answer, bool isTimely, time_point now)
+{
+    if (!answer.isForCalls) {
+        m_calledEntries.erase(entry);
         return;
+    }
+    m_calledEntries.insert(entry);
     const opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
     m_downstream.update(entry, answer.room, now);
     m_dependence.callEnded(isTimely && response != nullptr && internal::isSuccess(response->status), now);
@@ -106,13 +114,17 @@
 void served_requests::noteOutcome(const served_request& request, const exchange_ended& event, time_point now)
 {
     const upstream_response* response = std::get_if<upstream_response>(&event.outcome);
-    const bool isAnswered = response != nullptr && !response->isNotRun && internal::isSuccess(response->response.status);
+    const bool isAnswered
+        = response != nullptr && !response->isNotRun && internal::isSuccess(response->response.status);
+    m_dependence.requestLeft(request.message.entry, now);
     m_dependence.requestEnded(request.message.entry, isAnswered && now <= request.target, now);
 }
 
 void served_requests::updateRoom(time_point now)
 {
-    m_room.update(room_sample { m_queue.load().slots, m_queue.load().queued > 0 ? m_queue.expectedRoom() : milliseconds {} }, now);
+    m_room.update(
+        room_sample { m_queue.load().slots, m_queue.load().queued > 0 ? m_queue.expectedRoom() : milliseconds {} },
+        now);
 }
 
 void served_requests::apply(const slot_decisions& decisions, time_point now, gateway_actions& actions)
@@ -134,6 +146,7 @@
     ++m_counters.started;
     request.startedAt = now;
     request.upstream = upstream.incarnation.id;
+    m_dependence.requestStarted(request.message.entry, now);
     start_exchange action;
     action.id = id;
     action.address = m_settings.upstreamAddress;
@@ -145,8 +158,7 @@
     actions.emplace_back(std::move(action));
 }
 
-void served_requests::refuse(
-    std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions)
+void served_requests::refuse(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions)
 {
     const auto position = m_requests.find(id);
     if (position == m_requests.end())
@@ -185,8 +197,10 @@
     m_requests.erase(position);
     m_ids.erase(std::make_pair(request.peer, request.message.id));
     ++m_counters.cancelled;
-    if (request.startedAt)
+    if (request.startedAt) {
+        m_dependence.requestLeft(request.message.entry, now);
         actions.emplace_back(cancel_exchange { id });
+    }
     apply(m_queue.release(id, false, now), now, actions);
 }
 
@@ -244,8 +258,8 @@
     m_ids.erase(std::make_pair(request.peer, request.message.id));
     const upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
-    forward_outcome outcome = response != nullptr ? outcomeOf(request, *response, actions)
-                                                  : outcomeOf(request, *failure, actions);
+    forward_outcome outcome
+        = response != nullptr ? outcomeOf(request, *response, actions) : outcomeOf(request, *failure, actions);
     noteOutcome(request, event, now);
     const bool isMeasured = response != nullptr && !response->isNotRun;
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
@@ -266,7 +280,7 @@
     apply(m_queue.refuseAll(isLeaving ? refusal_reason::draining : refusal_reason::no_upstream), now, actions);
 }
 
-void served_requests::poll(time_point now, gateway_actions& actions) 
+void served_requests::poll(time_point now, gateway_actions& actions)
 {
     updateRoom(now);
     apply(m_queue.poll(now), now, actions);
@@ -281,6 +295,18 @@
         { "room_below", std::to_string(m_downstream.least(now)) } };
 }
 
+nlohmann::json served_requests::describeRoom(time_point now) const
+{
+    nlohmann::json entries = nlohmann::json::object();
+    for (const std::pair<const std::string, double>& item : m_credits) {
+        entries[item.first]
+            = { { "share", roomFor(item.first, now) }, { "depends_on_calls", m_dependence.isDependent(item.first) },
+                  { "call_rate", m_dependence.relativeCallRate(item.first) } };
+    }
+    return { { "own", m_room.share() }, { "below", m_downstream.least(now) }, { "utilization", m_room.utilization() },
+        { "entries", std::move(entries) } };
+}
+
 void served_requests::log(std::string event, const served_request& request,
     std::vector<std::pair<std::string, std::string>> fields, gateway_actions& actions) const
 {
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -11,6 +11,8 @@
 #include "knapweedcroft/gateway/upstream_queue.hpp"
 #include "knapweedcroft/gateway/upstream_registry.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -91,6 +93,13 @@
      */
     void setServices(std::set<service_name> services) { m_callers.setServices(std::move(services)); }
 
+    /**
+     * @brief Takes note of a request that began on this host and may be a call of the upstream.
+     * @param entry Its entry.
+     * @param now Present time.
+     */
+    void noteArrival(const std::string& entry, time_point now);
+
     /**
      * @brief Takes the answer to a request that began on this host and may be a call of the upstream.
      * @param entry Its entry.
@@ -123,6 +132,13 @@
      */
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> describeLoad(time_point now) const;
 
+    /**
+     * @brief Describes the room for new work: own, of the services below, and what each entry gets of it.
+     * @param now Present time.
+     * @return A JSON object.
+     */
+    [[nodiscard]] nlohmann::json describeRoom(time_point now) const;
+
     /** @brief Returns the counts since the start. */
     [[nodiscard]] const served_request_counters& counters() const noexcept { return m_counters; }
 
@@ -143,8 +159,7 @@
     [[nodiscard]] double roomFor(const std::string& entry, time_point now) const;
     void apply(const slot_decisions& decisions, time_point now, gateway_actions& actions);
     void start(std::uint64_t id, time_point now, gateway_actions& actions);
-    void refuse(
-        std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
+    void refuse(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
     void drop(std::uint64_t id, time_point now, gateway_actions& actions);
     void answer(const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const;
     void updateRoom(time_point now);
@@ -152,7 +167,8 @@
         const served_request& request, const upstream_response& response, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
         const served_request& request, const exchange_failure& failure, gateway_actions& actions);
-    void log(std::string event, const served_request& request, std::vector<std::pair<std::string, std::string>> fields, gateway_actions& actions) const;
+    void log(std::string event, const served_request& request, std::vector<std::pair<std::string, std::string>> fields,
+        gateway_actions& actions) const;
 
     gateway_settings m_settings;
     upstream_registry& m_registry;
@@ -161,6 +177,7 @@
     call_dependence m_dependence;
     room_control m_room;
     downstream_room m_downstream;
+    std::set<std::string> m_calledEntries; /*!< Entries that only upstreams call, as answers told. */
     std::unordered_map<std::string, double> m_credits; /*!< Per entry; a new request starts for each whole unit. */
     std::unordered_map<std::uint64_t, served_request> m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_ids;
--- a/src/knapweedcroft/gateway/upstream_registry.cpp
+++ b/src/knapweedcroft/gateway/upstream_registry.cpp
@@ -47,8 +47,8 @@
     if (announcement.sequence > m_present->sequence)
         return m_hasLeft;
     // Two consecutive numbers below the newest one come from a process that started again under the same identifier.
-    const bool isRestart = present.startedAt == 0 && m_repeatedSequence
-        && announcement.sequence == *m_repeatedSequence + 1;
+    const bool isRestart
+        = present.startedAt == 0 && m_repeatedSequence && announcement.sequence == *m_repeatedSequence + 1;
     m_repeatedSequence = announcement.sequence;
     if (isRestart)
         m_present->sequence = announcement.sequence - 1;
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -73,8 +73,7 @@
      * @param done Called with the outcome.
      * @return Number of the exchange; never reused.
      */
-    std::uint64_t start(
-        const std::string& address, const opaque_request& request, matcher isAnswer, completion done);
+    std::uint64_t start(const std::string& address, const opaque_request& request, matcher isAnswer, completion done);
 
     /**
      * @brief Gives up an exchange: its connection is closed and its completion is not called.
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -25,7 +25,8 @@
     milliseconds headerTime { 10'000 }; /*!< Longest time from the first byte of a header to its last. */
     milliseconds idleTime { 60'000 }; /*!< A connection that waits longer for a request is closed. */
     std::size_t maxPipelined = 256; /*!< Requests of one connection that may wait for their answers. */
-    std::size_t maxHeldBytes = std::size_t { 96 } * 1024 * 1024; /*!< Requests and answers held, over all connections. */
+    std::size_t maxHeldBytes
+        = std::size_t { 96 } * 1024 * 1024; /*!< Requests and answers held, over all connections. */
 };
 
 /** @brief Receivers of what happens on a server. */
--- a/src/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.cpp
@@ -10,6 +10,10 @@
 
 namespace internal {
 
+// Three announcements may be late or lost before the upstream counts as silent.
+static constexpr std::int64_t missedAnnouncements = 3;
+static constexpr milliseconds announcementMargin { 500 };
+
 [[nodiscard]] static host_port readAddress(json_reader& reader, std::string_view field)
 {
     const result<host_port> address = parseHostPort(reader.string(field));
@@ -43,9 +47,6 @@
 
 static void readGateway(json_reader& document, gateway_program_settings& settings)
 {
-    // Three announcements may be late or lost before the upstream counts as silent.
-    constexpr std::int64_t missedAnnouncements = 3;
-    constexpr milliseconds announcementMargin { 500 };
     readPart(document, "node", [&settings](json_reader& reader) {
         settings.gateway.node = reader.string("name");
         settings.gateway.data_centre = reader.string("data_centre");
--- a/src/knapweedcroft/telemetry/logger.cpp
+++ b/src/knapweedcroft/telemetry/logger.cpp
@@ -86,9 +86,8 @@
 protected:
     void append(const log4cplus::spi::InternalLoggingEvent& event) override
     {
-        const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
-            event.getTimestamp().time_since_epoch())
-                                        .count();
+        const std::int64_t second
+            = std::chrono::duration_cast<std::chrono::seconds>(event.getTimestamp().time_since_epoch()).count();
         if (second != m_second) {
             m_second = second;
             m_linesInSecond = 0;
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -474,8 +474,8 @@
     forward_answer message;
     message.id = call_id { reader.number("id") };
     message.isForCalls = reader.boolean("calls");
-    message.room = static_cast<double>(reader.number("room_ppm", static_cast<std::uint64_t>(partsPerMillion)))
-        / partsPerMillion;
+    message.room
+        = static_cast<double>(reader.number("room_ppm", static_cast<std::uint64_t>(partsPerMillion))) / partsPerMillion;
     message.load = readLoad(reader);
     message.upstreamTime = readDuration(reader, "upstream_us");
     const bool hasBody = !body.empty();
--- /dev/null
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -0,0 +1,352 @@
+#include "gateway_group.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace knapweedcroft {
+
+namespace {
+
+[[nodiscard]] std::shared_ptr<const entry_table> smallTable()
+{
+    const milliseconds target { 500 };
+    const milliseconds timeout { 1000 };
+    return std::make_shared<const entry_table>(3,
+        std::vector<forward_entry> { makeEntry("read", "visits", 1, true, target, timeout),
+            makeEntry("book", "visits", 0, false, target, timeout) },
+        client_limits {});
+}
+
+[[nodiscard]] int statusOf(const answer_client& answer)
+{
+    if (const opaque_response* response = std::get_if<opaque_response>(&answer.answer))
+        return response->status;
+    return std::get<own_answer>(answer.answer).status;
+}
+
+} // namespace
+
+class gateway_core_test : public testing::Test {
+protected:
+    gateway_core_test()
+    {
+        m_group.add("a", "visits", "z1", 4);
+        m_group.add("b", "visits", "z1", 4);
+        m_group.add("c", "planning", "z1", 4);
+        m_group.answersAutomatically = false;
+        m_group.start();
+    }
+
+    // Node that was asked to run the only request so far.
+    [[nodiscard]] std::string target() { return m_group.exchanges("a").empty() ? "b" : "a"; }
+    [[nodiscard]] static std::string other(const std::string& node) { return node == "a" ? "b" : "a"; }
+
+    void end(const std::string& node, std::variant<upstream_response, exchange_failure> outcome)
+    {
+        m_group.handle(node, exchange_ended { m_group.exchanges(node).back().id, std::move(outcome) });
+        m_group.run(milliseconds { 1 });
+    }
+
+    void sendFromC(const std::string& entry)
+    {
+        m_group.send("c", entry);
+        m_group.run(milliseconds { 1 });
+    }
+
+    [[nodiscard]] std::size_t exchangeCount() { return m_group.exchanges("a").size() + m_group.exchanges("b").size(); }
+
+    gateway_group m_group { smallTable() };
+};
+
+TEST_F(gateway_core_test, RefusesAsNotRunWithoutACatalogue)
+{
+    gateway_group group { smallTable() };
+    group.add("a", "visits", "z1", 4);
+    group.run(milliseconds { 1 });
+    EXPECT_FALSE(group.core("a").isReady());
+    group.send("a", "read");
+    ASSERT_EQ(group.answers("a").size(), 1U);
+    EXPECT_EQ(statusOf(group.answers("a").front()), 503);
+}
+
+TEST_F(gateway_core_test, PassesOnTheAnswerOfTheUpstreamUnchanged)
+{
+    sendFromC("read");
+    ASSERT_EQ(exchangeCount(), 1U);
+    const std::string node = target();
+    EXPECT_EQ(m_group.exchanges(node).front().caller, "planning");
+    EXPECT_EQ(m_group.exchanges(node).front().upstream, "upstream of " + node);
+    upstream_response response;
+    response.response = opaque_response { 418, { { "X", "y" } }, "body" };
+    end(node, response);
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(std::get<opaque_response>(m_group.answers("c").front().answer), response.response);
+}
+
+TEST_F(gateway_core_test, AnswersAnUnknownEntryWith404)
+{
+    client_request event;
+    event.handle = 77;
+    event.host = "h";
+    event.request.target = "/nothing/x";
+    m_group.handle("c", event);
+    EXPECT_EQ(statusOf(m_group.answers("c").back()), 404);
+}
+
+struct failure_case {
+    const char* name;
+    const char* entry;
+    std::variant<upstream_response, exchange_failure> outcome;
+    std::size_t exchanges; // Sends to upstreams in all.
+    int status; // Final answer; 0 while the request goes on at another upstream.
+};
+
+[[nodiscard]] static std::vector<failure_case> failureCases()
+{
+    upstream_response shed;
+    shed.response.status = 503;
+    shed.isNotRun = true;
+    upstream_response failed;
+    failed.response.status = 500;
+    const exchange_failure lost { true, error { error_kind::connection_failed, "reset" } };
+    const exchange_failure unwritten { false, error { error_kind::connection_failed, "refused" } };
+    return { { "a read whose answer was lost is repeated", "read", lost, 2, 0 },
+        { "a booking whose answer was lost may have run and is never sent again", "book", lost, 1, 502 },
+        { "a booking that the upstream shed goes to another one", "book", shed, 2, 0 },
+        { "a booking of which nothing was written goes to another one", "book", unwritten, 2, 0 },
+        { "an answer of the upstream is final, also a failure", "book", failed, 1, 500 } };
+}
+
+TEST_F(gateway_core_test, SendsAgainOnlyWhatMayRunAgain)
+{
+    for (const failure_case& row : failureCases()) {
+        gateway_group group { smallTable() };
+        group.add("a", "visits", "z1", 4);
+        group.add("b", "visits", "z1", 4);
+        group.add("c", "planning", "z1", 4);
+        group.answersAutomatically = false;
+        group.start();
+        group.send("c", row.entry);
+        group.run(milliseconds { 1 });
+        const std::string first = group.exchanges("a").empty() ? "b" : "a";
+        group.handle(first, exchange_ended { group.exchanges(first).back().id, row.outcome });
+        group.run(milliseconds { 1 });
+        EXPECT_EQ(group.exchanges("a").size() + group.exchanges("b").size(), row.exchanges) << row.name;
+        const std::vector<answer_client>& answers = group.answers("c");
+        EXPECT_EQ(answers.empty() ? 0 : statusOf(answers.front()), row.status) << row.name;
+    }
+}
+
+// A frame on a link that closed may have been read, so a booking on it must not run anywhere else.
+TEST_F(gateway_core_test, SettlesRequestsOnALostLinkByWhatMayHaveRun)
+{
+    sendFromC("book");
+    const std::string node = target();
+    m_group.cut("c", node);
+    m_group.run(milliseconds { 1 });
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(statusOf(m_group.answers("c").front()), 502);
+    EXPECT_EQ(exchangeCount(), 1U);
+}
+
+TEST_F(gateway_core_test, SendsAnUnwrittenRequestToAnotherUpstream)
+{
+    sendFromC("book");
+    const std::string node = target();
+    const call_id id { 1 };
+    m_group.handle("c", link_closed { node, { id } });
+    m_group.run(milliseconds { 1 });
+    EXPECT_TRUE(m_group.answers("c").empty());
+    EXPECT_EQ(m_group.exchanges(other(node)).size(), 1U);
+}
+
+TEST_F(gateway_core_test, AnswersAtTheTimeoutOfTheEntryAndCancels)
+{
+    sendFromC("read");
+    m_group.run(milliseconds { 1020 });
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(statusOf(m_group.answers("c").front()), 504);
+    EXPECT_EQ(m_group.core(target()).describe()["served_requests"]["cancelled"], 1);
+}
+
+TEST_F(gateway_core_test, CancelsTheWorkOfAClientThatLeft)
+{
+    sendFromC("read");
+    m_group.handle("c", client_gone { 1 });
+    m_group.run(milliseconds { 1 });
+    EXPECT_TRUE(m_group.answers("c").empty());
+    EXPECT_EQ(m_group.core(target()).describe()["served_requests"]["cancelled"], 1);
+}
+
+// An acknowledged leave binds at once, also for peers that have not heard of it.
+TEST_F(gateway_core_test, SendsNothingToALeavingUpstream)
+{
+    m_group.handle("a", leave_received { "upstream of a" });
+    for (int count = 0; count < 20; ++count)
+        m_group.send("c", "read");
+    m_group.run(milliseconds { 1 });
+    EXPECT_TRUE(m_group.exchanges("a").empty());
+    EXPECT_EQ(m_group.core("b").describe()["upstream"]["running"], 4);
+}
+
+// A node that stops gives back what peers send it and finishes what it has.
+TEST_F(gateway_core_test, StopsWithoutLosingRequests)
+{
+    sendFromC("read");
+    const std::string node = target();
+    m_group.handle(node, stop_requested { milliseconds { 5000 } });
+    EXPECT_FALSE(m_group.core(node).isReady());
+    EXPECT_FALSE(m_group.core(node).isIdle());
+    for (int count = 0; count < 4; ++count)
+        sendFromC("read");
+    EXPECT_EQ(m_group.exchanges(node).size(), 1U);
+    end(node, upstream_response {});
+    EXPECT_TRUE(m_group.core(node).isIdle());
+}
+
+// A client that was not told in time would lose the answer at the end of the process.
+TEST_F(gateway_core_test, RefusesRequestsThatCannotEndBeforeTheProcess)
+{
+    m_group.handle("c", stop_requested { milliseconds { 3000 } });
+    sendFromC("read");
+    EXPECT_EQ(exchangeCount(), 1U);
+    m_group.run(milliseconds { 2600 });
+    const std::size_t before = exchangeCount();
+    sendFromC("read");
+    EXPECT_EQ(exchangeCount(), before);
+    EXPECT_EQ(statusOf(m_group.answers("c").back()), 503);
+}
+
+// A catalogue never goes back, whichever way an older one comes.
+TEST_F(gateway_core_test, IgnoresAnOlderCatalogue)
+{
+    const forward_entry later = makeEntry("later", "visits", 0, true, milliseconds { 500 }, milliseconds { 1000 });
+    m_group.handle("c",
+        catalogue_read {
+            std::make_shared<const entry_table>(9, std::vector<forward_entry> { later }, client_limits {}) });
+    m_group.handle("c", catalogue_read { smallTable() });
+    catch_up_message old;
+    old.catalogue = smallTable()->format();
+    old.membership = "[]";
+    m_group.handle("c", message_received { "a", old });
+    EXPECT_EQ(m_group.core("c").describe()["catalogue_version"], 9);
+}
+
+// A node that starts while the store is away learns the catalogue and the other nodes from a peer.
+TEST_F(gateway_core_test, LearnsFromAPeerWhileTheStoreIsAway)
+{
+    m_group.add("d", "planning", "z1", 4);
+    m_group.run(milliseconds { 1 });
+    EXPECT_FALSE(m_group.core("d").isReady());
+    m_group.handle("d", link_opened { m_group.core("a").makeHello() });
+    m_group.run(milliseconds { 1 });
+    EXPECT_TRUE(m_group.core("d").isReady());
+    EXPECT_EQ(m_group.core("d").describe()["catalogue_version"], 3);
+    EXPECT_EQ(m_group.core("d").describe()["known_nodes"], 4);
+}
+
+TEST_F(gateway_core_test, GivesTheUpstreamNoMoreTimeThanIsLeft)
+{
+    client_request event;
+    event.handle = 500;
+    event.host = "h";
+    event.requestId = "r";
+    event.deadline = milliseconds { 300 };
+    event.request.method = "GET";
+    event.request.target = "/read/x";
+    m_group.handle("c", event);
+    m_group.run(milliseconds { 1 });
+    const std::string node = target();
+    ASSERT_EQ(m_group.exchanges(node).size(), 1U);
+    EXPECT_LE(m_group.exchanges(node).front().deadline, milliseconds { 300 });
+}
+
+// --- replays of load
+
+namespace {
+
+// The shape of the logbooks: a read makes ten calls to a deep service, a filing five, a balance is one request there.
+[[nodiscard]] std::shared_ptr<const entry_table> chainTable()
+{
+    const milliseconds target { 1000 };
+    return std::make_shared<const entry_table>(1,
+        std::vector<forward_entry> { makeEntry("lookup", "registry", 2, true, target, milliseconds { 1500 }),
+            makeEntry("filing", "logbook", 0, false, target, milliseconds { 1500 }),
+            makeEntry("codes", "logbook", 2, true, target, milliseconds { 1500 }),
+            makeEntry("balance", "quota", 1, true, milliseconds { 200 }, milliseconds { 800 }),
+            makeEntry("ledger", "quota", 3, true, milliseconds { 300 }, milliseconds { 700 }) },
+        client_limits {});
+}
+
+void addChain(gateway_group& group)
+{
+    for (const char* zone : { "z1", "z2" }) {
+        group.add(std::string { "registry-" } + zone, "registry", zone, 100);
+        group.add(std::string { "logbook-" } + zone, "logbook", zone, 100);
+        group.add(std::string { "quota-" } + zone, "quota", zone, 10);
+    }
+    group.model("lookup", { milliseconds { 50 }, "ledger", 10 });
+    group.model("filing", { milliseconds { 50 }, "ledger", 5 });
+    group.model("codes", { milliseconds { 100 }, "", 0 });
+    group.model("balance", { milliseconds { 30 }, "", 0 });
+    group.model("ledger", { milliseconds { 20 }, "", 0 });
+    group.start();
+}
+
+} // namespace
+
+// Load pattern: a deep service with less room than the demand. Its 1,000 calls a second are enough for all filings and
+// balances and for a part of the lookups. Without the room that it advertises nearly every lookup fails in the middle.
+TEST(GatewayLoad, AdmitsWhatTheDeepServiceCanFinish)
+{
+    gateway_group group { chainTable() };
+    addChain(group);
+    group.load(
+        { { "lookup", 120.0 }, { "filing", 60.0 }, { "codes", 60.0 }, { "balance", 60.0 } }, milliseconds { 20'000 });
+    group.run(milliseconds { 3000 });
+    const client_counts& lookup = group.counts("lookup");
+    const client_counts& filing = group.counts("filing");
+    const client_counts& balance = group.counts("balance");
+    const client_counts& codes = group.counts("codes");
+    // 1,000 calls a second less 300 for filings and 90 for balances leave room for 61 lookups a second.
+    EXPECT_GT(lookup.succeeded, 0.5 * 61 * 20);
+    EXPECT_GT(filing.timely, 0.85 * filing.sent);
+    EXPECT_GT(balance.timely, 0.85 * balance.sent);
+    EXPECT_GT(codes.timely, 0.9 * codes.sent);
+    EXPECT_LT(lookup.failed, 0.15 * lookup.sent);
+    EXPECT_GT(lookup.refused, 0.2 * lookup.sent);
+}
+
+// Load pattern: the same demand as above ends; the next requests must not pay for it.
+TEST(GatewayLoad, RecoversWithinTwoSecondsOfTheOverload)
+{
+    gateway_group group { chainTable() };
+    addChain(group);
+    group.load({ { "lookup", 250.0 }, { "filing", 60.0 } }, milliseconds { 10'000 });
+    group.load({ { "lookup", 10.0 }, { "filing", 30.0 } }, milliseconds { 2000 });
+    const client_counts before = group.counts("lookup");
+    group.load({ { "lookup", 10.0 }, { "filing", 30.0 } }, milliseconds { 10'000 });
+    group.run(milliseconds { 3000 });
+    const client_counts& after = group.counts("lookup");
+    EXPECT_GT(after.timely - before.timely, 0.9 * (after.sent - before.sent));
+}
+
+// Load pattern: a calm day must cost nothing.
+TEST(GatewayLoad, ServesAllOnACalmDay)
+{
+    gateway_group group { chainTable() };
+    addChain(group);
+    group.load(
+        { { "lookup", 30.0 }, { "filing", 30.0 }, { "codes", 60.0 }, { "balance", 30.0 } }, milliseconds { 10'000 });
+    group.run(milliseconds { 3000 });
+    for (const char* entry : { "lookup", "filing", "codes", "balance" }) {
+        EXPECT_EQ(group.counts(entry).refused, 0) << entry;
+        EXPECT_GE(group.counts(entry).timely, group.counts(entry).sent * 99 / 100) << entry;
+    }
+    // Nothing ran twice.
+    EXPECT_TRUE(std::all_of(group.runs().begin(), group.runs().end(),
+        [](const std::pair<const std::string, int>& item) { return item.second == 1; }));
+}
+
+} // namespace knapweedcroft
--- /dev/null
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -0,0 +1,217 @@
+#include "gateway_group.hpp"
+
+#include <utility>
+
+namespace knapweedcroft {
+
+forward_entry makeEntry(const std::string& name, const std::string& service, std::uint32_t rank, bool isIdempotent,
+    milliseconds target, milliseconds timeout)
+{
+    forward_entry entry;
+    entry.name = name;
+    entry.host = "h";
+    entry.pathPrefix = "/" + name + "/";
+    entry.isIdempotent = isIdempotent;
+    entry.timeout = timeout;
+    entry.targetLatency = target;
+    entry.rank = rank;
+    entry.maxAttempts = 2;
+    entry.services = { { service, 1 } };
+    return entry;
+}
+
+gateway_group::gateway_group(std::shared_ptr<const entry_table> table)
+    : m_charts { valueOf(loadCharts(KNAPWEEDCROFT_SOURCE_DIRECTORY "/charts")) }
+    , m_table { std::move(table) }
+{
+}
+
+void gateway_group::add(
+    const std::string& name, const std::string& service, const std::string& dataCentre, std::uint32_t slots)
+{
+    gateway_settings settings;
+    settings.node = name;
+    settings.data_centre = dataCentre;
+    settings.service = service;
+    settings.upstreamAddress = "127.0.0.1:1";
+    settings.seed = m_nodes.size() + 1;
+    settings.upstreamSilence = milliseconds { 3'600'000 };
+    settings.retries = { 0.2, 50.0, milliseconds { 10'000 } };
+    std::unique_ptr<member_node> added = std::make_unique<member_node>();
+    added->service = service;
+    added->core = std::make_unique<gateway_core>(
+        settings, m_charts.upstream, name + ":1", incarnation_id { m_nodes.size() + 1 });
+    m_nodes.emplace(name, std::move(added));
+    upstream_announcement announcement;
+    announcement.incarnation = { "upstream of " + name, 1 };
+    announcement.service = service;
+    announcement.address = settings.upstreamAddress;
+    announcement.slots = slots;
+    announcement.sequence = 1;
+    at(m_now, [this, name, announcement] { handle(name, announcement_received { announcement }); });
+}
+
+void gateway_group::start()
+{
+    run(milliseconds { 1 });
+    for (const std::pair<const std::string, std::unique_ptr<member_node>>& item : m_nodes) {
+        handle(item.first, store_availability_changed { true });
+        handle(item.first, directory_read { {}, {}, true });
+        handle(item.first, catalogue_read { m_table });
+        for (const std::pair<const std::string, std::unique_ptr<member_node>>& other : m_nodes) {
+            if (other.first != item.first)
+                handle(item.first, link_opened { other.second->core->makeHello() });
+        }
+    }
+    run(milliseconds { 1 });
+}
+
+const forward_entry& gateway_group::entryOf(const std::string& name) const
+{
+    return *m_table->find("h", "/" + name + "/");
+}
+
+void gateway_group::handle(const std::string& name, const gateway_event& event)
+{
+    gateway_actions actions = m_nodes.at(name)->core->handle(event, m_now, m_now);
+    perform(name, actions);
+}
+
+void gateway_group::perform(const std::string& name, gateway_actions& actions)
+{
+    member_node& self = *m_nodes.at(name);
+    for (gateway_action& action : actions) {
+        if (send_to_peer* sent = std::get_if<send_to_peer>(&action)) {
+            const std::string peer = sent->peer;
+            at(m_now, [this, name, peer, message = std::move(sent->message)] {
+                handle(peer, message_received { name, message });
+            });
+        } else if (const answer_client* answer = std::get_if<answer_client>(&action)) {
+            self.answers.push_back(*answer);
+            onAnswer(name, *answer);
+        } else if (const start_exchange* started = std::get_if<start_exchange>(&action)) {
+            self.exchanges.push_back(*started);
+            ++m_runs[started->requestId];
+            if (answersAutomatically)
+                runExchange(name, *started);
+        } else if (const cancel_exchange* cancelled = std::get_if<cancel_exchange>(&action)) {
+            self.running.erase(cancelled->id);
+        }
+    }
+}
+
+void gateway_group::runExchange(const std::string& name, const start_exchange& action)
+{
+    const forward_entry& entry = *m_table->find("h", action.request.target);
+    const entry_model work = m_models[entry.name];
+    m_nodes.at(name)->running.insert(action.id);
+    at(m_now + work.work, [this, name, id = action.id, work] { makeCalls(name, id, work, work.times); });
+}
+
+void gateway_group::makeCalls(const std::string& name, std::uint64_t id, const entry_model& work, int left)
+{
+    if (m_nodes.at(name)->running.count(id) == 0)
+        return;
+    if (left == 0) {
+        finish(name, id, true);
+        return;
+    }
+    request(name, work.calls, [this, name, id, work, left](bool isGood) {
+        if (isGood)
+            makeCalls(name, id, work, left - 1);
+        else
+            finish(name, id, false);
+    });
+}
+
+void gateway_group::finish(const std::string& name, std::uint64_t id, bool isGood)
+{
+    if (m_nodes.at(name)->running.erase(id) == 0)
+        return;
+    upstream_response response;
+    response.response.status = isGood ? 200 : 500;
+    handle(name, exchange_ended { id, response });
+}
+
+void gateway_group::request(const std::string& name, const std::string& entry, std::function<void(bool)> done)
+{
+    client_request event;
+    event.handle = ++m_lastHandle;
+    event.host = "h";
+    event.requestId = std::to_string(event.handle);
+    event.deadline = entryOf(entry).timeout;
+    event.request.method = "GET";
+    event.request.target = "/" + entry + "/x";
+    m_clients[{ name, event.handle }] = client_state { entry, m_now, std::move(done) };
+    handle(name, event);
+}
+
+void gateway_group::send(const std::string& name, const std::string& entry)
+{
+    ++m_counts[entry].sent;
+    request(name, entry, nullptr);
+}
+
+void gateway_group::onAnswer(const std::string& name, const answer_client& answer)
+{
+    const auto position = m_clients.find({ name, answer.handle });
+    if (position == m_clients.end())
+        return;
+    const client_state client = std::move(position->second);
+    m_clients.erase(position);
+    const opaque_response* response = std::get_if<opaque_response>(&answer.answer);
+    const bool isGood = response != nullptr && response->status == 200;
+    if (client.done) {
+        at(m_now, [done = client.done, isGood] { done(isGood); });
+        return;
+    }
+    client_counts& counts = m_counts[client.entry];
+    const bool isTimely = m_now - client.sentAt <= entryOf(client.entry).targetLatency;
+    counts.succeeded += isGood ? 1 : 0;
+    counts.timely += isGood && isTimely ? 1 : 0;
+    const own_answer* own = std::get_if<own_answer>(&answer.answer);
+    const bool isRefused = own != nullptr && own->status == 503;
+    counts.refused += isRefused ? 1 : 0;
+    counts.failed += isGood || isRefused ? 0 : 1;
+}
+
+void gateway_group::load(const std::map<std::string, double>& perSecond, milliseconds length)
+{
+    std::vector<std::string> names;
+    for (const std::pair<const std::string, std::unique_ptr<member_node>>& item : m_nodes)
+        names.push_back(item.first);
+    for (const std::pair<const std::string, double>& item : perSecond) {
+        std::exponential_distribution<double> pause { item.second / 1000.0 };
+        for (double time = pause(m_random); time < length.count(); time += pause(m_random)) {
+            const std::string name = names[m_random() % names.size()];
+            at(m_now + milliseconds::fromFraction(time), [this, name, entry = item.first] { send(name, entry); });
+        }
+    }
+    run(length);
+}
+
+void gateway_group::run(milliseconds length)
+{
+    constexpr milliseconds timerInterval { 10 };
+    const time_point end = m_now + length;
+    while (m_now < end) {
+        const time_point next = std::min(end, m_now + timerInterval);
+        while (!m_tasks.empty() && m_tasks.begin()->first <= next) {
+            m_now = std::max(m_now, m_tasks.begin()->first);
+            const std::function<void()> task = std::move(m_tasks.begin()->second);
+            m_tasks.erase(m_tasks.begin());
+            task();
+        }
+        m_now = next;
+        for (const std::pair<const std::string, std::unique_ptr<member_node>>& item : m_nodes)
+            handle(item.first, timer_fired {});
+    }
+}
+
+void gateway_group::cut(const std::string& first, const std::string& second)
+{
+    handle(first, link_closed { second, {} });
+    handle(second, link_closed { first, {} });
+}
+
+} // namespace knapweedcroft
--- a/test/knapweedcroft/http/request_parser.cpp
+++ b/test/knapweedcroft/http/request_parser.cpp
@@ -99,8 +99,9 @@
 TEST(RequestParser, DropsHopByHopHeaders)
 {
     request_parser parser { message_limits {} };
-    const std::string text = "GET /a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
-                             "X-End: 2\r\n\r\n";
+    const std::string text
+        = "GET /a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+          "X-End: 2\r\n\r\n";
     static_cast<void>(parser.put(text));
     ASSERT_TRUE(parser.isDone());
     const http_headers expected { { "Host", "h" }, { "X-End", "2" } };
