Test the adapter, the template, the settings of the gateway and the messages for opaque requests; bound bodies between nodes

A body beyond 15 MiB stays on its host or is refused as not run: a frame between nodes holds 16 MiB, and a larger one closed the link with all requests on it.

--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -102,7 +102,8 @@
     std::vector<placement_candidate> candidates;
     for (const known_node* known : m_directory.nodesOf(request.service)) {
         const node_name& node = known->record.node;
-        const bool isReachable = known->isLinked && known->isServing && known->status.has_value();
+        const bool isReachable = known->isLinked && known->isServing && known->status.has_value()
+            && (node == m_settings.node || request.request.body.size() <= mostForwardedBytes);
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
         if (!isReachable || isTried)
             continue;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -177,6 +177,9 @@
 void served_requests::answer(
     const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const
 {
+    const opaque_response* response = std::get_if<opaque_response>(&outcome);
+    if (response != nullptr && response->body.size() > mostForwardedBytes && request.peer != m_settings.node)
+        outcome = forward_failure { "the response is too large to be passed on between nodes" };
     forward_answer message;
     message.id = request.message.id;
     message.outcome = std::move(outcome);
--- a/src/knapweedcroft/gateway/settings.hpp
+++ b/src/knapweedcroft/gateway/settings.hpp
@@ -5,11 +5,15 @@
 #include "knapweedcroft/core/time.hpp"
 #include "knapweedcroft/gateway/retry_allowance.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
 namespace knapweedcroft {
 
+/** @brief Greatest body that is passed on between nodes; a frame has 16 MiB, and its header needs some of them. */
+inline constexpr std::size_t mostForwardedBytes = std::size_t { 15 } * 1024 * 1024;
+
 /** @brief Settings of the decisions of a gateway. */
 struct gateway_settings {
     node_name node;
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -64,6 +64,35 @@
             key_record { "k2", "e", 98, milliseconds { 1 }, false, answered { 200, "text/plain", "\x80 body" } } } };
 }
 
+[[nodiscard]] forward_request fullForward()
+{
+    forward_request forward;
+    forward.id = call_id { UINT64_MAX };
+    forward.service = "quota";
+    forward.caller = "logbook";
+    forward.entry = "r-1";
+    forward.requestId = "id \xff";
+    forward.rank = 2;
+    forward.isInvested = true;
+    forward.hasAlternative = true;
+    forward.deadline = milliseconds::fromMicroseconds(1234);
+    forward.target = milliseconds::fromMicroseconds(-5);
+    forward.request = opaque_request { "POST", "/a?b=c", { { "X", "1" }, { "x", "2" } }, std::string { "\0raw", 4 } };
+    return forward;
+}
+
+[[nodiscard]] forward_answer forwardedWith(forward_outcome outcome)
+{
+    forward_answer answer;
+    answer.id = call_id { 5 };
+    answer.outcome = std::move(outcome);
+    answer.load = upstream_load { 9, 8, 7, milliseconds { 6 } };
+    answer.isForCalls = true;
+    answer.room = 0.25;
+    answer.upstreamTime = milliseconds { 42 };
+    return answer;
+}
+
 [[nodiscard]] std::vector<named_message> everyMessage()
 {
     return { { "hello",
@@ -80,7 +109,14 @@
         { "bare heartbeat", heartbeat_message {} }, { "state change", state_change_message { node_state::gone } },
         { "hand over", handOver() }, { "hand over ack", hand_over_ack_message { 41 } },
         { "catch up request", catch_up_request_message { 1, 2 } },
-        { "catch up", catch_up_message { R"({"a":1})", "[]" } } };
+        { "catch up", catch_up_message { R"({"a":1})", "[]" } }, { "forward", fullForward() },
+        { "forwarded", forwardedWith(opaque_response { 418, { { "A", "\xff" }, { "A", "" } }, std::string(3, '\0') }) },
+        { "forward refused",
+            forwardedWith(forward_refusal { refusal_reason::draining, milliseconds { 9 }, true, true }) },
+        { "forward failed", forwardedWith(forward_failure { "reset" }) },
+        { "upstream status",
+            upstream_status_message { "i-1", 1'700'000'000'000, true, milliseconds { 3 },
+                upstream_load { 1, 2, 3, milliseconds { 4 } }, 12 } } };
 }
 
 [[nodiscard]] std::string frameOf(const nlohmann::json& header, const std::string& body = {})
@@ -109,6 +145,10 @@
     EXPECT_EQ(std::get<call_request>(valueOf(call)).body, keyedCall().body);
     EXPECT_EQ(std::get<call_request>(valueOf(call)).key, keyedCall().key);
     EXPECT_EQ(std::get<call_request>(valueOf(call)).deadline, keyedCall().deadline);
+    const result<peer_message> forward = decode(encode(fullForward()));
+    EXPECT_EQ(std::get<forward_request>(valueOf(forward)).request, fullForward().request);
+    EXPECT_EQ(std::get<forward_request>(valueOf(forward)).target, fullForward().target);
+    EXPECT_EQ(std::get<forward_request>(valueOf(forward)).requestId, fullForward().requestId);
     const result<peer_message> answer = decode(encode(fullAnswer()));
     EXPECT_EQ(std::get<call_answer>(valueOf(answer)).outcome, fullAnswer().outcome);
     EXPECT_EQ(std::get<call_answer>(valueOf(answer)).thresholds, fullAnswer().thresholds);
--- /dev/null
+++ b/test/platform/boundary.cpp
@@ -0,0 +1,87 @@
+#include "knapweedcroft/settings/gateway_program_settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+namespace knapweedcroft {
+
+namespace {
+
+[[nodiscard]] std::string readText(const std::filesystem::path& path)
+{
+    std::ifstream file { path };
+    return { std::istreambuf_iterator<char> { file }, std::istreambuf_iterator<char> {} };
+}
+
+const std::filesystem::path root { KNAPWEEDCROFT_SOURCE_DIRECTORY };
+
+} // namespace
+
+// The product must stay usable without the platform, so its names may stand in the adapter only.
+TEST(Boundary, NoNameOfThePlatformOutsideTheAdapter)
+{
+    const std::vector<std::string> names { "PathPrefix", "TrafficSplit", "MaxAttempts", "TargetLatency",
+        "X-Expect-Instance", "X-Not-Executed", "X-Server-Load", "X-Response-Signature", "X-Caller-Service",
+        "X-Deadline-Ms", "X-Request-Id", "X-Instance-Id", "/knapweedcroft/", "KNAPWEEDCROFT_BOOT", "HeartbeatUrl",
+        "ColdRemaining", "log-append", "log-read", "log-newest", "keyed.op", "ListenAddrs", "NodeName" };
+    for (const char* folder : { "src", "bench", "charts" }) {
+        for (const std::filesystem::directory_entry& file :
+            std::filesystem::recursive_directory_iterator { root / folder }) {
+            if (!file.is_regular_file())
+                continue;
+            const std::string text = readText(file.path());
+            for (const std::string& name : names) {
+                const std::size_t position = text.find(name);
+                // Our own include paths begin with the project's name.
+                const bool isFound
+                    = position != std::string::npos && text.find("#include \"knapweedcroft" + name) > position;
+                EXPECT_FALSE(isFound) << file.path() << " contains " << name;
+            }
+        }
+    }
+}
+
+// The template must render to settings that the program accepts, with and without a bound on repeats.
+TEST(Boundary, TheTemplateRendersToValidSettings)
+{
+    std::string text = readText(root / "platform" / "gateway_settings.json.template");
+    const std::vector<std::pair<std::string, std::string>> fields { { "{{NodeName|json}}", "\"n\"" },
+        { "{{Zone|json}}", "\"z\"" }, { "{{Service|json}}", "\"s\"" },
+        { "{{ListenAddrs.Outbound|json}}", "\"10.0.0.1:1\"" }, { "{{ListenAddrs.Ready|json}}", "\"10.0.0.1:2\"" },
+        { "{{ListenAddrs.Control|json}}", "\"10.0.0.1:3\"" }, { "{{Ip}}", "10.0.0.1" }, { "{{PortRange.0}}", "7620" },
+        { "{{PortRange.1}}", "7635" }, { "{{AppAddr|json}}", "\"10.0.0.1:4\"" }, { "{{Heartbeat|json}}", "\"1500ms\"" },
+        { "{{Platform.Address|json}}", "\"10.0.0.2:5\"" }, { "{{Bounds.RetryBudgetRatio}}", "0.2" },
+        { "{{Bounds.RetryBudgetSlack}}", "49" }, { "{{Bounds.BudgetWindow|json}}", "\"10s\"" },
+        { "{{Bounds.Grace|json}}", "\"6s\"" } };
+    for (const std::pair<std::string, std::string>& field : fields) {
+        for (std::size_t position = text.find(field.first); position != std::string::npos;
+             position = text.find(field.first))
+            text.replace(position, field.first.size(), field.second);
+    }
+    const std::string start = "{{#Bounds.BudgetWindow}}";
+    const std::string end = "{{/Bounds.BudgetWindow}}";
+    const std::size_t first = text.find(start);
+    const std::size_t last = text.find(end);
+    ASSERT_NE(first, std::string::npos);
+    ASSERT_NE(last, std::string::npos);
+    std::string without = text;
+    without.erase(first, last + end.size() - first);
+    text.erase(last, end.size());
+    text.erase(first, start.size());
+    EXPECT_EQ(text.find("{{"), std::string::npos);
+    for (const std::string& rendered : { text, without }) {
+        const result<gateway_program_settings> settings
+            = readGatewaySettings(nlohmann::json::parse(rendered, nullptr, false), "template");
+        ASSERT_TRUE(hasValue(settings)) << errorOf(settings).message;
+        EXPECT_EQ(valueOf(settings).gateway.node, "n");
+        EXPECT_EQ(valueOf(settings).grace, milliseconds { 6000 });
+        EXPECT_EQ(valueOf(settings).peers.port, 7620);
+    }
+}
+
+} // namespace knapweedcroft
