Leave the last slots for bursts; do not cut new work for a queue that drains by itself

Change: hand over to another data centre from 0.85 of the slots on if that one is below 0.75; a wait of 40 ms counts as harmless; mean over 120 ms; gain of the cut 1.8 a second.

--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -17,8 +17,10 @@
 // Part of the remaining target latency that the own data centre may use before another one is considered.
 static constexpr double ownShare = 0.45;
 // An upstream of another data centre takes what a full one cannot, as long as it keeps some slots for its own.
+// Requests arrive in bursts between two reports of the load, so the last slots are left for them.
+static constexpr double fullOccupancy = 0.85;
 static constexpr double leastFree = 0.02; // A full upstream is still taken if all are full.
-static constexpr double freeOccupancy = 0.85;
+static constexpr double freeOccupancy = 0.75;
 // Another data centre is used only if it is predicted to be faster by this factor.
 static constexpr double leastGain = 0.8;
 
@@ -114,7 +116,7 @@
     const double ownTime = predict(candidates[*own], request.entry, now).count();
     const double otherTime = predict(candidates[*other], request.entry, now).count();
     const bool isOwnSlow = ownTime > internal::ownShare * request.target.count();
-    const bool isOwnFull = occupancy(candidates[*own]) >= 1.0;
+    const bool isOwnFull = occupancy(candidates[*own]) >= internal::fullOccupancy;
     const bool isOtherFree = occupancy(candidates[*other]) < internal::freeOccupancy;
     const bool isOtherWorthIt = isOtherFree && (isOwnFull || (isOwnSlow && otherTime < internal::leastGain * ownTime));
     return isOtherWorthIt ? other : own;
--- a/src/knapweedcroft/gateway/room_control.cpp
+++ b/src/knapweedcroft/gateway/room_control.cpp
@@ -9,12 +9,14 @@
 
 static constexpr milliseconds updateInterval { 50 };
 static constexpr milliseconds longestInterval { 500 }; // After a longer gap, what was measured before says nothing.
-static constexpr double smoothingTime = 100.0; // In ms.
-static constexpr double targetUtilization = 0.97;
+static constexpr double smoothingTime = 120.0; // In ms.
+static constexpr double targetUtilization = 1.0;
+// A queue that a burst leaves behind drains by itself; other upstreams may take a part of it.
+static constexpr double harmlessWait = 40.0; // In ms.
 // A queue whose wait has this length in ms counts as much as full utilization beyond the target.
-static constexpr double fullWait = 300.0;
+static constexpr double fullWait = 200.0;
 // Whole requests reach the deep service within about 300 ms; gains per second beyond the inverse would oscillate.
-static constexpr double decreaseGain = 1.2; // Per second.
+static constexpr double decreaseGain = 1.8; // Per second.
 static constexpr double increaseGain = 2.0; // Per second.
 static constexpr double leastShare = 0.015; // Enough requests to notice that there is room again.
 
@@ -36,7 +38,8 @@
     const double interval = elapsed.count();
     const double measured = offered / (interval * static_cast<double>(sample.slots));
     m_utilization += (1.0 - std::exp(-interval / internal::smoothingTime)) * (measured - m_utilization);
-    const double spare = internal::targetUtilization - m_utilization - sample.wait.count() / internal::fullWait;
+    const double excessWait = std::max(0.0, sample.wait.count() - internal::harmlessWait);
+    const double spare = internal::targetUtilization - m_utilization - excessWait / internal::fullWait;
     constexpr double millisecondsPerSecond = 1000.0;
     const double gain = spare > 0.0 ? internal::increaseGain : internal::decreaseGain;
     const double change = std::max(-2.0, spare) * gain * interval / millisecondsPerSecond;
