--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -72,6 +72,12 @@
     bool isAvailable = false;
 };
 
+/** @brief The link to a peer carries no answers, or does so again. */
+struct link_suspected {
+    node_name peer;
+    bool isSuspected = true;
+};
+
 /** @brief The bound on repeats was set. */
 struct retry_bound_set {
     retry_allowance_settings settings;
@@ -84,8 +90,8 @@
 
 /** @brief Anything that a gateway reacts to. */
 using gateway_event = std::variant<client_request, client_gone, exchange_ended, announcement_received, leave_received,
-    catalogue_read, directory_read, store_availability_changed, retry_bound_set, stop_requested, link_opened,
-    link_closed, message_received, timer_fired>;
+    catalogue_read, directory_read, store_availability_changed, retry_bound_set, stop_requested, link_suspected,
+    link_opened, link_closed, message_received, timer_fired>;
 
 } // namespace knapweedcroft
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -311,6 +311,11 @@
     m_served.setServices(std::move(services));
 }
 
+void gateway_core::on(const link_suspected& event, gateway_actions&)
+{
+    m_directory.suspect(event.peer, event.isSuspected);
+}
+
 void gateway_core::on(const link_closed& event, gateway_actions& actions)
 {
     m_directory.unlinked(event.peer);
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -73,6 +73,7 @@
     void on(const store_availability_changed& event, gateway_actions& actions);
     void on(const retry_bound_set& event, gateway_actions& actions);
     void on(const stop_requested& event, gateway_actions& actions);
+    void on(const link_suspected& event, gateway_actions& actions);
     void on(const link_opened& event, gateway_actions& actions);
     void on(const link_closed& event, gateway_actions& actions);
     void on(const message_received& event, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -83,7 +83,10 @@
     , m_upstream { loop, exchange_client_settings {} }
     , m_hub { loop, settings.gateway.node, charts.peerLink, internal::hubSettings(settings.gateway),
         { [this] { return m_core.makeHello(); }, [this](node_event event) { deliver(std::move(event)); },
-            [this](const write_log& line) { m_log.write(line); } } }
+            [this](const write_log& line) { m_log.write(line); },
+            [this](const node_name& peer, bool isSuspected) {
+                handle(link_suspected { peer, isSuspected });
+            } } }
     , m_metricsServer { loop, http_server_settings {} }
     , m_wakeup { loop, [this] { handle(timer_fired {}); } }
     , m_tickTimer { loop, [this] { tick(); } }
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -83,6 +83,7 @@
 {
     known_node& known = m_nodes[hello.node];
     known.isLinked = true;
+    known.isSuspected = false;
     known.record.node = hello.node;
     known.record.data_centre = hello.data_centre;
     if (!hello.peerAddress.empty())
@@ -96,9 +97,17 @@
     if (position == m_nodes.end())
         return;
     position->second.isLinked = false;
+    position->second.isSuspected = false;
     position->second.status.reset();
 }
 
+void node_directory::suspect(const node_name& node, bool isSuspected)
+{
+    const auto position = m_nodes.find(node);
+    if (position != m_nodes.end())
+        position->second.isSuspected = isSuspected;
+}
+
 bool node_directory::update(const node_name& node, const upstream_status_message& status)
 {
     const auto position = m_nodes.find(node);
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -38,6 +38,7 @@
 struct known_node {
     directory_record record;
     bool isLinked = false;
+    bool isSuspected = false; /*!< The link carries no answers at present. */
     bool isServing = false; /*!< Its upstream takes new requests, as far as is known. */
     std::optional<upstream_status_message> status; /*!< Newest status from the link. */
 };
@@ -74,6 +75,13 @@
      */
     void unlinked(const node_name& node);
 
+    /**
+     * @brief Takes note that a link carries no answers, or does so again.
+     * @param node The peer.
+     * @param isSuspected True if it carries none.
+     */
+    void suspect(const node_name& node, bool isSuspected);
+
     /**
      * @brief Takes the status of a peer's upstream.
      * @param node The peer.
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -55,6 +55,7 @@
     request.requestId = event.requestId;
     request.arrival = now;
     request.deadline = now + event.deadline.value_or(internal::longestWait);
+    request.clientDeadline = request.deadline;
     m_ids.emplace(event.handle, id);
     m_deadlines.emplace(request.deadline, id);
     if (m_table->version() < 0) {
@@ -102,7 +103,7 @@
     std::vector<placement_candidate> candidates;
     for (const known_node* known : m_directory.nodesOf(request.service)) {
         const node_name& node = known->record.node;
-        const bool isReachable = known->isLinked && known->isServing && known->status.has_value()
+        const bool isReachable = known->isLinked && !known->isSuspected && known->isServing && known->status.has_value()
             && (node == m_settings.node || request.request.body.size() <= mostForwardedBytes);
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
         if (!isReachable || isTried)
@@ -246,7 +247,7 @@
     }
     const milliseconds room
         = m_jitter.spread(milliseconds {} < request.retryAfter ? request.retryAfter : internal::unknownRoom);
-    const milliseconds most = (request.deadline - now) / internal::retryShareDivisor;
+    const milliseconds most = (request.clientDeadline - now) / internal::retryShareDivisor;
     const milliseconds retryAfter = std::max(internal::shortestRetry, std::min(room, most));
     ++m_counters.refused;
     log(log_level::info, "request_refused", request,
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -130,7 +130,8 @@
         std::string requestId;
         opaque_request request;
         time_point arrival;
-        time_point deadline; /*!< The final answer is due. */
+        time_point clientDeadline; /*!< The client stops waiting. */
+        time_point deadline; /*!< The final answer is due, by the client or the entry. */
         node_name node; /*!< Node to which it was sent last. */
         std::vector<node_name> tried;
         std::uint32_t arrivals = 0; /*!< At upstreams, as far as is known. */
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -169,7 +169,8 @@
     ++m_counters.refused;
     log("request_turned_away", request,
         { { "reason", std::string { toString(refusal.reason) } }, { "queued", std::to_string(m_queue.load().queued) },
-            { "running", std::to_string(m_queue.load().running) } },
+            { "running", std::to_string(m_queue.load().running) },
+            { "room", std::to_string(roomFor(request.message.entry, now)) } },
         actions);
     answer(request, refusal, now, actions);
 }
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -323,8 +323,19 @@
     if (behind >= record.unansweredPings)
         return;
     record.unansweredPings = static_cast<std::uint32_t>(behind);
-    if (record.phase == link_phase::active)
-        peerOf(record.hello->node).state.fire(peer_link_event::pong_received);
+    if (record.phase != link_phase::active)
+        return;
+    peer_link_instance& state = peerOf(record.hello->node).state;
+    const bool wasSuspected = state.state() != peer_link_state::open;
+    state.fire(peer_link_event::pong_received);
+    if (wasSuspected && state.state() == peer_link_state::open)
+        reportSuspicion(record.hello->node, false);
+}
+
+void peer_hub::reportSuspicion(const node_name& peer, bool isSuspected) const
+{
+    if (m_handlers.suspected)
+        m_handlers.suspected(peer, isSuspected);
 }
 
 void peer_hub::onEnded(std::uint64_t id, const link_end& end)
@@ -568,8 +579,10 @@
     if (!isChecked)
         return;
     peer_record& peer = peerOf(name);
-    if (record.unansweredPings > 0)
+    if (record.unansweredPings > 0) {
         peer.state.fire(peer_link_event::ping_missed);
+        reportSuspicion(name, true);
+    }
     if (peer.state.state() == peer_link_state::replacing && peer.outgoingLink == 0) {
         log(log_level::warning, "link_silent", record, "opening a replacement");
         startReplacement(name);
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -40,6 +40,7 @@
     std::function<hello_message()> makeHello; /*!< Returns the hello to send now. */
     std::function<void(node_event)> deliver; /*!< Receives link_opened, link_closed and message_received. */
     std::function<void(write_log)> log; /*!< Receives log lines. */
+    std::function<void(const node_name&, bool)> suspected; /*!< A peer missed a ping, or answers again; may be empty. */
 };
 
 /**
@@ -189,6 +190,7 @@
     void reportUnwritten(const node_name& peer, call_id call);
     void tick();
     void checkPings(link_record& record);
+    void reportSuspicion(const node_name& peer, bool isSuspected) const;
     void log(log_level level, std::string_view event, const link_record& record, std::string_view detail);
 
     event_loop& m_loop;
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -190,6 +190,38 @@
     EXPECT_EQ(m_group.core("b").describe()["upstream"]["running"], 4);
 }
 
+// Requests that were sent to a frozen node after its first missed ping waited a second more for nothing.
+TEST_F(gateway_core_test, AvoidsAPeerWhoseLinkIsSuspected)
+{
+    m_group.handle("c", link_suspected { "a", true });
+    for (int count = 0; count < 4; ++count)
+        sendFromC("read");
+    EXPECT_TRUE(m_group.exchanges("a").empty());
+    m_group.handle("c", link_suspected { "a", false });
+    for (int count = 0; count < 4; ++count)
+        sendFromC("read");
+    EXPECT_FALSE(m_group.exchanges("a").empty());
+}
+
+// Clients honour a third of the time that they have left, which may be more than the entry's timeout.
+TEST_F(gateway_core_test, TellsARetryTimeWithinTheTimeOfTheClient)
+{
+    m_group.handle("a", leave_received { "upstream of a" });
+    m_group.handle("b", leave_received { "upstream of b" });
+    client_request event;
+    event.handle = 600;
+    event.host = "h";
+    event.deadline = milliseconds { 300 };
+    event.request.target = "/read/x";
+    m_group.handle("c", event);
+    m_group.run(milliseconds { 1 });
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    const own_answer& answer = std::get<own_answer>(m_group.answers("c").front().answer);
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_LE(answer.retryAfter, milliseconds { 100 });
+    EXPECT_LT(milliseconds {}, answer.retryAfter);
+}
+
 // A node that stops gives back what peers send it and finishes what it has.
 TEST_F(gateway_core_test, StopsWithoutLosingRequests)
 {
