--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -274,6 +274,16 @@
     m_dials[node] = m_now + delay;
 }
 
+void gateway_core::dropFormerOwners(const node_name& node, gateway_actions& actions)
+{
+    for (const node_name& former : m_directory.dropFormerOwners(node)) {
+        m_dials.erase(former);
+        actions.emplace_back(close_link { former });
+        actions.emplace_back(internal::logLine(
+            log_level::info, "directory_change", { { "node", former }, { "reason", "address used by " + node } }));
+    }
+}
+
 void gateway_core::dial(gateway_actions& actions)
 {
     for (auto position = m_dials.begin(); position != m_dials.end();) {
@@ -292,6 +302,7 @@
 {
     const hello_message& hello = event.hello;
     m_directory.linked(hello);
+    dropFormerOwners(hello.node, actions);
     updateServices();
     m_dials.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, ownStatus() });
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -93,6 +93,7 @@
     void announceUpstream(std::string_view cause, gateway_actions& actions);
     void scheduleDial(const node_name& node, milliseconds delay);
     void dial(gateway_actions& actions);
+    void dropFormerOwners(const node_name& node, gateway_actions& actions);
     void updateServices();
     void reportLoad(gateway_actions& actions);
     void askPeers(gateway_actions& actions);
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <iterator>
+
 namespace knapweedcroft {
 
 namespace internal {
@@ -79,6 +81,23 @@
         m_nodes.erase(position);
 }
 
+std::vector<node_name> node_directory::dropFormerOwners(const node_name& node)
+{
+    std::vector<node_name> dropped;
+    const auto owner = m_nodes.find(node);
+    if (owner == m_nodes.end())
+        return dropped;
+    for (auto position = m_nodes.begin(); position != m_nodes.end();) {
+        const known_node& known = position->second;
+        const bool isFormer
+            = position != owner && !known.isLinked && known.record.peerAddress == owner->second.record.peerAddress;
+        if (isFormer)
+            dropped.push_back(position->first);
+        position = isFormer ? m_nodes.erase(position) : std::next(position);
+    }
+    return dropped;
+}
+
 void node_directory::linked(const hello_message& hello)
 {
     known_node& known = m_nodes[hello.node];
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -63,6 +63,13 @@
      */
     void withdraw(const node_name& node);
 
+    /**
+     * @brief Removes the nodes whose address now belongs to another node; addresses of hosts are used again.
+     * @param node The node that has its address now.
+     * @return The nodes that were removed.
+     */
+    std::vector<node_name> dropFormerOwners(const node_name& node);
+
     /**
      * @brief Takes note of an open link.
      * @param hello What the peer said of itself.
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -113,32 +113,33 @@
         return header.take();
     }
 
+    // Bytes between data centres are dear, so the fields of the most frequent messages have short names.
     wire_json operator()(const forward_request& value) const
     {
         map_builder header;
-        header.add("k", "forward").add("id", value.id.value()).add("service", value.service);
-        header.add("caller", value.caller).add("entry", value.entry).add("request", value.requestId);
-        header.add("rank", value.rank).add("invested", value.isInvested).add("alternative", value.hasAlternative);
-        header.add("deadline_us", value.deadline.microseconds()).add("target_us", value.target.microseconds());
-        header.add("method", value.request.method).add("path", value.request.target);
-        header.add("headers", toJson(value.request.headers));
+        header.add("k", "fwd").add("id", value.id.value()).add("s", value.service);
+        header.add("c", value.caller).add("e", value.entry).add("r", value.requestId);
+        header.add("p", value.rank).add("i", value.isInvested).add("a", value.hasAlternative);
+        header.add("d", value.deadline.microseconds()).add("t", value.target.microseconds());
+        header.add("m", value.request.method).add("u", value.request.target);
+        header.add("h", toJson(value.request.headers));
         return header.take();
     }
 
     wire_json operator()(const forward_answer& value) const
     {
         map_builder header;
-        header.add("k", "forwarded").add("id", value.id.value());
-        header.add("calls", value.isForCalls).add("room_ppm", toPartsPerMillion(value.room));
-        header.add("load", toJson(value.load)).add("upstream_us", value.upstreamTime.microseconds());
+        header.add("k", "fwd_ans").add("id", value.id.value());
+        header.add("c", value.isForCalls).add("o", toPartsPerMillion(value.room));
+        header.add("l", toJson(value.load)).add("u", value.upstreamTime.microseconds());
         if (const opaque_response* response = std::get_if<opaque_response>(&value.outcome))
-            header.add("status", response->status).add("headers", toJson(response->headers));
+            header.add("s", response->status).add("h", toJson(response->headers));
         if (const forward_refusal* refusal = std::get_if<forward_refusal>(&value.outcome)) {
-            header.add("reason", toString(refusal->reason)).add("retry_after_us", refusal->retryAfter.microseconds());
-            header.add("reached", refusal->reachedUpstream).add("final", refusal->isFinal);
+            header.add("w", toString(refusal->reason)).add("y", refusal->retryAfter.microseconds());
+            header.add("x", refusal->reachedUpstream).add("z", refusal->isFinal);
         }
         if (const forward_failure* failure = std::get_if<forward_failure>(&value.outcome))
-            header.add("failure", failure->message);
+            header.add("f", failure->message);
         return header.take();
     }
 
@@ -293,9 +294,9 @@
     return priority { static_cast<call_class>(value[0].get<std::uint64_t>()), value[1].get<std::uint64_t>() };
 }
 
-[[nodiscard]] static refusal_reason readReason(field_reader& reader)
+[[nodiscard]] static refusal_reason readReason(field_reader& reader, const char* field)
 {
-    const std::string name = reader.text("reason", maxTextBytes);
+    const std::string name = reader.text(field, maxTextBytes);
     for (std::uint8_t number = 0; number < UINT8_MAX; ++number) {
         const refusal_reason reason = static_cast<refusal_reason>(number);
         if (toString(reason) == name)
@@ -303,7 +304,7 @@
         if (toString(reason) == "unknown")
             break;
     }
-    reader.fail("reason", "the name of a refusal reason");
+    reader.fail(field, "the name of a refusal reason");
     return refusal_reason::overloaded;
 }
 
@@ -316,7 +317,7 @@
         return answered { status, reader.text("content_type", maxTextBytes), std::move(body) };
     }
     if (kind == "refused_not_run") {
-        const refusal_reason reason = readReason(reader);
+        const refusal_reason reason = readReason(reader, "reason");
         const milliseconds retryAfter = readDuration(reader, "retry_after_us");
         return refused_not_run { reason, retryAfter, reader.text("message", maxTextBytes) };
     }
@@ -395,9 +396,9 @@
 [[nodiscard]] static http_headers readHeaders(field_reader& reader)
 {
     constexpr std::size_t maxHeaders = 1024;
-    const std::vector<std::string> parts = readNames(reader, "headers");
+    const std::vector<std::string> parts = readNames(reader, "h");
     if (parts.size() % 2 != 0 || parts.size() > 2 * maxHeaders) {
-        reader.fail("headers", "a list of names and values");
+        reader.fail("h", "a list of names and values");
         return {};
     }
     http_headers headers;
@@ -406,19 +407,19 @@
     return headers;
 }
 
-[[nodiscard]] static upstream_load readLoad(field_reader& reader)
+[[nodiscard]] static upstream_load readLoad(field_reader& reader, const char* field)
 {
     constexpr std::size_t fields = 4;
-    const wire_json& list = reader.list("load", fields);
+    const wire_json& list = reader.list(field, fields);
     upstream_load load;
     for (const wire_json& item : list) {
         if (!item.is_number_unsigned() || item.get<std::uint64_t>() > UINT32_MAX) {
-            reader.fail("load", "a list of four numbers");
+            reader.fail(field, "a list of four numbers");
             return load;
         }
     }
     if (list.size() != fields) {
-        reader.fail("load", "a list of four numbers");
+        reader.fail(field, "a list of four numbers");
         return load;
     }
     load.running = list[0].get<std::uint32_t>();
@@ -432,17 +433,17 @@
 {
     forward_request message;
     message.id = call_id { reader.number("id") };
-    message.service = reader.text("service", maxTextBytes);
-    message.caller = reader.text("caller", maxTextBytes);
-    message.entry = reader.text("entry", maxTextBytes);
-    message.requestId = reader.text("request", maxTextBytes);
-    message.rank = readCount(reader, "rank");
-    message.isInvested = reader.boolean("invested");
-    message.hasAlternative = reader.boolean("alternative");
-    message.deadline = readDuration(reader, "deadline_us");
-    message.target = readDuration(reader, "target_us");
-    message.request.method = reader.text("method", maxTextBytes);
-    message.request.target = reader.text("path", maxTextBytes);
+    message.service = reader.text("s", maxTextBytes);
+    message.caller = reader.text("c", maxTextBytes);
+    message.entry = reader.text("e", maxTextBytes);
+    message.requestId = reader.text("r", maxTextBytes);
+    message.rank = readCount(reader, "p");
+    message.isInvested = reader.boolean("i");
+    message.hasAlternative = reader.boolean("a");
+    message.deadline = readDuration(reader, "d");
+    message.target = readDuration(reader, "t");
+    message.request.method = reader.text("m", maxTextBytes);
+    message.request.target = reader.text("u", maxTextBytes);
     message.request.headers = readHeaders(reader);
     message.request.body = std::move(body);
     return message;
@@ -451,37 +452,37 @@
 [[nodiscard]] static forward_outcome readForwardOutcome(field_reader& reader, std::string&& body)
 {
     constexpr std::uint64_t maxStatus = 999;
-    if (reader.has("status")) {
+    if (reader.has("s")) {
         opaque_response response;
-        response.status = static_cast<int>(reader.number("status", maxStatus));
+        response.status = static_cast<int>(reader.number("s", maxStatus));
         response.headers = readHeaders(reader);
         response.body = std::move(body);
         return response;
     }
-    if (reader.has("reason")) {
+    if (reader.has("w")) {
         forward_refusal refusal;
-        refusal.reason = readReason(reader);
-        refusal.retryAfter = readDuration(reader, "retry_after_us");
-        refusal.reachedUpstream = reader.boolean("reached");
-        refusal.isFinal = reader.boolean("final");
+        refusal.reason = readReason(reader, "w");
+        refusal.retryAfter = readDuration(reader, "y");
+        refusal.reachedUpstream = reader.boolean("x");
+        refusal.isFinal = reader.boolean("z");
         return refusal;
     }
-    return forward_failure { reader.text("failure", maxTextBytes) };
+    return forward_failure { reader.text("f", maxTextBytes) };
 }
 
 [[nodiscard]] static peer_message readForwarded(field_reader& reader, std::string&& body)
 {
     forward_answer message;
     message.id = call_id { reader.number("id") };
-    message.isForCalls = reader.boolean("calls");
+    message.isForCalls = reader.boolean("c");
     message.room
-        = static_cast<double>(reader.number("room_ppm", static_cast<std::uint64_t>(partsPerMillion))) / partsPerMillion;
-    message.load = readLoad(reader);
-    message.upstreamTime = readDuration(reader, "upstream_us");
+        = static_cast<double>(reader.number("o", static_cast<std::uint64_t>(partsPerMillion))) / partsPerMillion;
+    message.load = readLoad(reader, "l");
+    message.upstreamTime = readDuration(reader, "u");
     const bool hasBody = !body.empty();
     message.outcome = readForwardOutcome(reader, std::move(body));
     if (hasBody && !std::holds_alternative<opaque_response>(message.outcome))
-        reader.fail("status", "present in a frame with a body");
+        reader.fail("s", "present in a frame with a body");
     return message;
 }
 
@@ -492,7 +493,7 @@
     message.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
     message.isServing = reader.boolean("serving");
     message.warmUpLeft = readDuration(reader, "warm_up_us");
-    message.load = readLoad(reader);
+    message.load = readLoad(reader, "load");
     message.catalogueVersion = reader.integer("catalogue", -1, INT64_MAX / 2);
     return message;
 }
@@ -598,8 +599,7 @@
     { "heartbeat", &readHeartbeat, false }, { "hello", &readHello, false }, { "state_change", &readStateChange, false },
     { "hand_over", &readHandOver, false }, { "hand_over_ack", &readHandOverAck, false },
     { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false },
-    { "forward", &readForward, true }, { "forwarded", &readForwarded, true },
-    { "upstream", &readUpstreamStatus, false } };
+    { "fwd", &readForward, true }, { "fwd_ans", &readForwarded, true }, { "upstream", &readUpstreamStatus, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -41,18 +41,18 @@
     explicit gateway_group(std::shared_ptr<const entry_table> table);
 
     /** @brief Adds a gateway beside an upstream; call `start` after the last one. */
-    void add(const std::string& node, const std::string& service, const std::string& dataCentre, std::uint32_t slots);
+    void add(const std::string& name, const std::string& service, const std::string& dataCentre, std::uint32_t slots);
     void model(const std::string& entry, const entry_model& value) { m_models[entry] = value; }
     void start();
 
     /** @brief Sends a request of an entry to a gateway and counts its end under the entry's name. */
-    void send(const std::string& node, const std::string& entry);
+    void send(const std::string& name, const std::string& entry);
 
     /** @brief Sends requests at random times for a while, spread over all gateways, and plays on until they end. */
     void load(const std::map<std::string, double>& perSecond, milliseconds length);
 
     void run(milliseconds length);
-    void handle(const std::string& node, const gateway_event& event);
+    void handle(const std::string& name, const gateway_event& event);
 
     /** @brief Cuts the link between two gateways; `unwritten` tells whether frames on their way were not written. */
     void cut(const std::string& first, const std::string& second);
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -76,6 +76,17 @@
     EXPECT_EQ(directory.find("n"), nullptr);
 }
 
+// A host that was taken away left its address to another one, and its peers tried to reach it twice a second for good.
+TEST(NodeDirectory, DropsTheFormerOwnerOfAnAddress)
+{
+    node_directory directory;
+    directory.apply(record("old", 100, 1));
+    directory.linked(hello("new"));
+    EXPECT_EQ(directory.dropFormerOwners("new"), std::vector<node_name> { "old" });
+    EXPECT_EQ(directory.find("old"), nullptr);
+    EXPECT_NE(directory.find("new"), nullptr);
+}
+
 TEST(NodeDirectory, TellsAnotherNodeAllItsRecords)
 {
     node_directory directory;
--- a/test/platform/messages.cpp
+++ b/test/platform/messages.cpp
@@ -101,10 +101,11 @@
     start_exchange action;
     action.upstream = "i-1";
     action.caller = "planning";
+    action.requestId = event.requestId;
     action.deadline = milliseconds::fromMicroseconds(123'900);
     action.request = event.request;
     const opaque_request sent = makeBackendRequest(action);
-    const http_headers expected { { "Host", "a.example" }, { "X-Request-Id", "r1" }, { "X-Other", "kept" },
+    const http_headers expected { { "Host", "a.example" }, { "X-Other", "kept" }, { "X-Request-Id", "r1" },
         { "X-Deadline-Ms", "123" }, { "X-Caller-Service", "planning" }, { "X-Expect-Instance", "i-1" } };
     EXPECT_EQ(sent.headers, expected);
     EXPECT_EQ(sent.target, "/p/1?x=y");
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -86,8 +86,7 @@
     void answerRead(std::uint64_t id, std::size_t from)
     {
         http_response response;
-        response.body = std::string(15, '\0') + "\0";
-        response.body.resize(16, '\0');
+        response.body = std::string(16, '\0');
         response.body[7] = static_cast<char>(records.size());
         for (std::size_t offset = from; offset < records.size(); ++offset)
             response.body += encodeRecord(records[offset]);
