Ignore records of hosts whose address belongs to another linked node

Cause: records of hosts that were taken away stay in the store; each node that read them again dialled the address, which belongs to another host by now (1 to 30 warnings a second in the incidents of both sites).

--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace knapweedcroft {
@@ -53,8 +54,19 @@
     return internal::fromJson(valueOf(document));
 }
 
+// Records of hosts that were taken away stay in the store, and their addresses are used again.
+bool node_directory::isAddressOfAnother(const directory_record& record) const
+{
+    return std::any_of(m_nodes.begin(), m_nodes.end(), [&record](const std::pair<const node_name, known_node>& item) {
+        return item.second.isLinked && item.first != record.node
+            && item.second.record.peerAddress == record.peerAddress;
+    });
+}
+
 bool node_directory::apply(const directory_record& record)
 {
+    if (isAddressOfAnother(record))
+        return false;
     known_node& known = m_nodes[record.node];
     const upstream_incarnation& before = known.record.upstream.incarnation;
     const upstream_incarnation& after = record.upstream.incarnation;
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -53,7 +53,8 @@
     /**
      * @brief Takes a record.
      * @param record The record.
-     * @return True if the node is new or its address or upstream has changed.
+     * @return True if the node is new or its address or upstream has changed; false also if its address belongs to a
+     * linked node of another name by now.
      */
     bool apply(const directory_record& record);
 
@@ -138,6 +139,8 @@
     [[nodiscard]] static result<std::vector<directory_record>> parseAll(std::string_view text);
 
 private:
+    [[nodiscard]] bool isAddressOfAnother(const directory_record& record) const;
+
     std::map<node_name, known_node> m_nodes;
 };
 
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -85,6 +85,9 @@
     EXPECT_EQ(directory.dropFormerOwners("new"), std::vector<node_name> { "old" });
     EXPECT_EQ(directory.find("old"), nullptr);
     EXPECT_NE(directory.find("new"), nullptr);
+    // The record is still in the store and may be read again.
+    EXPECT_FALSE(directory.apply(record("old", 100, 1)));
+    EXPECT_EQ(directory.find("old"), nullptr);
 }
 
 TEST(NodeDirectory, TellsAnotherNodeAllItsRecords)
