--- a/src/knapweedcroft/gateway/caller_profile.cpp
+++ b/src/knapweedcroft/gateway/caller_profile.cpp
@@ -13,7 +13,7 @@
 
 } // namespace internal
 
-void caller_profile::count(const std::string& entry, const service_name& caller, time_point)
+void caller_profile::count(const std::string& entry, const service_name& caller)
 {
     entry_counts& counts = m_entries[entry];
     counts.total += 1.0;
--- a/src/knapweedcroft/gateway/caller_profile.hpp
+++ b/src/knapweedcroft/gateway/caller_profile.hpp
@@ -2,7 +2,6 @@
 #define KNAPWEEDCROFT_GATEWAY_CALLER_PROFILE_HPP
 
 #include "knapweedcroft/core/fwd.hpp"
-#include "knapweedcroft/core/time.hpp"
 
 #include <map>
 #include <set>
@@ -30,9 +29,8 @@
      * @brief Counts a request.
      * @param entry Name of the entry.
      * @param caller Service of the host on which the request began.
-     * @param now Present time.
      */
-    void count(const std::string& entry, const service_name& caller, time_point now);
+    void count(const std::string& entry, const service_name& caller);
 
     /**
      * @brief Sets the services that have hosts in the own data centre, from which most requests come.
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -124,16 +124,21 @@
     actions.emplace_back(internal::logLine(log_level::info, std::string { cause },
         { { "upstream", status.upstream }, { "started_ms", std::to_string(status.startedAt) },
             { "serving", status.isServing ? "true" : "false" }, { "slots", std::to_string(status.load.slots) } }));
-    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (item.second.isLinked && item.first != m_settings.node)
-            actions.emplace_back(send_to_peer { item.first, status });
-    }
+    tellPeers(status, actions);
     if (!m_registry.present())
         return;
     m_isPublished = true;
     actions.emplace_back(publish_record { ownRecord() });
 }
 
+void gateway_core::tellPeers(const upstream_status_message& status, gateway_actions& actions) const
+{
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (item.second.isLinked && item.first != m_settings.node)
+            actions.emplace_back(send_to_peer { item.first, status });
+    }
+}
+
 upstream_status_message gateway_core::ownStatus() const
 {
     upstream_status_message status;
@@ -223,10 +228,7 @@
     const upstream_status_message status = ownStatus();
     m_directory.update(m_settings.node, status);
     m_served.upstreamChanged(m_now, actions);
-    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (item.second.isLinked && item.first != m_settings.node)
-            actions.emplace_back(send_to_peer { item.first, status });
-    }
+    tellPeers(status, actions);
     actions.emplace_back(internal::logLine(log_level::info, "upstream_assumed",
         { { "upstream", status.upstream }, { "written_ms", std::to_string(record.writtenAt) } }));
 }
@@ -252,10 +254,7 @@
     m_served.startDraining();
     m_origin.startDraining(m_now, m_now + event.grace);
     const upstream_status_message status = ownStatus();
-    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (item.second.isLinked && item.first != m_settings.node)
-            actions.emplace_back(send_to_peer { item.first, status });
-    }
+    tellPeers(status, actions);
     // The record of a living upstream lets the next process of this node serve it at once.
     if (m_isPublished && !m_registry.isServing())
         actions.emplace_back(withdraw_record {});
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -97,6 +97,7 @@
     void updateServices();
     void reportLoad(gateway_actions& actions);
     void askPeers(gateway_actions& actions);
+    void tellPeers(const upstream_status_message& status, gateway_actions& actions) const;
     [[nodiscard]] upstream_status_message ownStatus() const;
     [[nodiscard]] directory_record ownRecord() const;
     void deliverLocally(gateway_actions& actions);
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -78,7 +78,9 @@
                 handle(client_gone { number });
             },
             [](const parse_fault& fault) {
-                return internal::ownResponse(fault.status, "invalid_request", fault.message, {});
+                constexpr int overloaded = 503;
+                const std::string_view kind = fault.status == overloaded ? "overloaded" : "invalid_request";
+                return internal::ownResponse(fault.status, kind, fault.message, {});
             } } }
     , m_upstream { loop, exchange_client_settings {} }
     , m_hub { loop, settings.gateway.node, charts.peerLink, internal::hubSettings(settings.gateway),
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -66,7 +66,7 @@
     request.table = m_table;
     request.entry = m_table->find(event.host, event.request.target);
     if (request.entry == nullptr || request.entry->services.empty()) {
-        close(id, internal::answerOf(404, "unknown_entry", "no entry of the catalogue matches host and path", {}), now,
+        close(id, internal::answerOf(404, "unknown_entry", "no entry of the catalogue matches host and path", {}),
             actions);
         return;
     }
@@ -232,7 +232,7 @@
     }
     ++m_counters.failed;
     log(log_level::info, "request_failed", request, { { "cause", cause }, { "node", request.node } }, now, actions);
-    close(id, internal::answerOf(502, "failed_after_start", "no whole answer came; it may have run", {}), now, actions);
+    close(id, internal::answerOf(502, "failed_after_start", "no whole answer came; it may have run", {}), actions);
 }
 
 void origin_requests::refuse(std::uint64_t id, time_point now, gateway_actions& actions)
@@ -241,8 +241,7 @@
     if (request.mayHaveRun) {
         ++m_counters.failed;
         log(log_level::info, "request_failed", request, { { "cause", "no upstream for the repeat" } }, now, actions);
-        close(id, internal::answerOf(502, "failed_after_start", "no whole answer came; it may have run", {}), now,
-            actions);
+        close(id, internal::answerOf(502, "failed_after_start", "no whole answer came; it may have run", {}), actions);
         return;
     }
     const milliseconds room
@@ -255,10 +254,10 @@
         now, actions);
     close(id,
         internal::answerOf(503, std::string { toString(request.reason) }, "not run; send it again later", retryAfter),
-        now, actions);
+        actions);
 }
 
-void origin_requests::close(std::uint64_t id, own_answer answer, time_point, gateway_actions& actions)
+void origin_requests::close(std::uint64_t id, own_answer answer, gateway_actions& actions)
 {
     actions.emplace_back(answer_client { m_requests.at(id).handle, std::move(answer) });
     remove(id);
@@ -315,7 +314,7 @@
         log(log_level::info, "request_timed_out", request, { { "node", request.node } }, now, actions);
         m_placement.ended(request.node, request.entry->name, std::nullopt, now);
         actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
-        close(id, internal::answerOf(504, "timed_out", "no answer in time; it may have run", {}), now, actions);
+        close(id, internal::answerOf(504, "timed_out", "no answer in time; it may have run", {}), actions);
     }
 }
 
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -151,7 +151,7 @@
     void takeRefusal(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
     void takeFailure(std::uint64_t id, const std::string& cause, time_point now, gateway_actions& actions);
     void refuse(std::uint64_t id, time_point now, gateway_actions& actions);
-    void close(std::uint64_t id, own_answer answer, time_point now, gateway_actions& actions);
+    void close(std::uint64_t id, own_answer answer, gateway_actions& actions);
     void remove(std::uint64_t id);
     void log(log_level level, std::string event, const origin_request& request,
         std::vector<std::pair<std::string, std::string>> fields, time_point now, gateway_actions& actions) const;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -54,7 +54,7 @@
         refuse(id, forward_refusal { *reason, internal::unavailableRetry, false }, now, actions);
         return;
     }
-    m_callers.count(message.entry, message.caller, now);
+    m_callers.count(message.entry, message.caller);
     if (isTurnedAway(message, now)) {
         refuse(id, forward_refusal { refusal_reason::overloaded, internal::overloadRetry, false, true }, now, actions);
         return;
@@ -158,14 +158,20 @@
     actions.emplace_back(std::move(action));
 }
 
+served_requests::served_request served_requests::take(request_map::iterator position)
+{
+    served_request request = std::move(position->second);
+    m_requests.erase(position);
+    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    return request;
+}
+
 void served_requests::refuse(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions)
 {
     const auto position = m_requests.find(id);
     if (position == m_requests.end())
         return;
-    const served_request request = std::move(position->second);
-    m_requests.erase(position);
-    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    const served_request request = take(position);
     ++m_counters.refused;
     log("request_turned_away", request,
         { { "reason", std::string { toString(refusal.reason) } }, { "queued", std::to_string(m_queue.load().queued) },
@@ -197,9 +203,7 @@
     const auto position = m_requests.find(id);
     if (position == m_requests.end())
         return;
-    const served_request request = std::move(position->second);
-    m_requests.erase(position);
-    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    const served_request request = take(position);
     ++m_counters.cancelled;
     if (request.startedAt) {
         m_dependence.requestLeft(request.message.entry, now);
@@ -257,9 +261,7 @@
     const auto position = m_requests.find(event.id);
     if (position == m_requests.end())
         return false;
-    const served_request request = std::move(position->second);
-    m_requests.erase(position);
-    m_ids.erase(std::make_pair(request.peer, request.message.id));
+    const served_request request = take(position);
     const upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
     forward_outcome outcome
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -152,11 +152,14 @@
         std::string upstream; /*!< Upstream to which it was sent. */
     };
 
+    using request_map = std::unordered_map<std::uint64_t, served_request>;
+
     [[nodiscard]] std::optional<refusal_reason> immediateRefusal(
         const node_name& peer, const forward_request& message) const;
     [[nodiscard]] bool isTurnedAway(const forward_request& message, time_point now);
     void noteOutcome(const served_request& request, const exchange_ended& event, time_point now);
     [[nodiscard]] double roomFor(const std::string& entry, time_point now) const;
+    [[nodiscard]] served_request take(request_map::iterator position);
     void apply(const slot_decisions& decisions, time_point now, gateway_actions& actions);
     void start(std::uint64_t id, time_point now, gateway_actions& actions);
     void refuse(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
@@ -179,7 +182,7 @@
     downstream_room m_downstream;
     std::set<std::string> m_calledEntries; /*!< Entries that only upstreams call, as answers told. */
     std::unordered_map<std::string, double> m_credits; /*!< Per entry; a new request starts for each whole unit. */
-    std::unordered_map<std::uint64_t, served_request> m_requests;
+    request_map m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_ids;
     served_request_counters m_counters;
     std::uint64_t m_lastId = 0;
--- a/src/knapweedcroft/http/internal/framing.cpp
+++ b/src/knapweedcroft/http/internal/framing.cpp
@@ -1,6 +1,8 @@
 #include "knapweedcroft/http/internal/framing.hpp"
 
-#include <event2/util.h>
+#include "knapweedcroft/http/internal/text.hpp"
+
+#include <algorithm>
 
 namespace knapweedcroft::internal {
 
@@ -10,20 +12,6 @@
     bool isChunkedLast = true;
 };
 
-[[nodiscard]] static bool isNamed(std::string_view name, std::string_view expected)
-{
-    return name.size() == expected.size() && evutil_ascii_strncasecmp(name.data(), expected.data(), name.size()) == 0;
-}
-
-[[nodiscard]] static std::string_view trimmedValue(std::string_view value)
-{
-    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
-        value.remove_prefix(1);
-    while (!value.empty() && (value.back() == ' ' || value.back() == '\t'))
-        value.remove_suffix(1);
-    return value;
-}
-
 [[nodiscard]] static bool isDigits(std::string_view value)
 {
     return !value.empty() && value.find_first_not_of("0123456789") == std::string_view::npos;
@@ -39,15 +27,15 @@
     const std::string_view name = line.substr(0, colon);
     if (name.back() == ' ' || name.back() == '\t')
         return parse_fault { 400, "a header name ends with a blank; remove it" };
-    const std::string_view value = trimmedValue(line.substr(colon + 1));
-    if (isNamed(name, "Content-Length")) {
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    if (isSameName(name, "Content-Length")) {
         ++framing.lengths;
         if (!isDigits(value))
             return parse_fault { 400, "Content-Length is not one decimal number; send the body's size in bytes" };
     }
-    if (isNamed(name, "Transfer-Encoding")) {
+    if (isSameName(name, "Transfer-Encoding")) {
         ++framing.codings;
-        framing.isChunkedLast = isNamed(value, "chunked");
+        framing.isChunkedLast = isSameName(value, "chunked");
     }
     return std::nullopt;
 }
@@ -81,6 +69,23 @@
     return std::nullopt;
 }
 
+bool header_gate::isOpen(std::string_view bytes, const message_limits& limits, std::optional<parse_fault>& fault)
+{
+    if (m_isOpen)
+        return true;
+    const std::size_t end = headerEnd(bytes);
+    if (std::min(end, bytes.size()) > limits.maxHeaderBytes) {
+        constexpr int headerTooLarge = 431;
+        fault = parse_fault { headerTooLarge, "the header exceeds the limit in bytes; send less" };
+        return false;
+    }
+    if (end == std::string_view::npos)
+        return false;
+    fault = checkHeader(bytes.substr(0, end));
+    m_isOpen = !fault;
+    return m_isOpen;
+}
+
 http_headers copyHeaders(const boost::beast::http::fields& fields)
 {
     http_headers headers;
--- a/src/knapweedcroft/http/internal/framing.hpp
+++ b/src/knapweedcroft/http/internal/framing.hpp
@@ -25,6 +25,22 @@
  */
 [[nodiscard]] std::optional<parse_fault> checkHeader(std::string_view header);
 
+/** @brief Keeps bytes from a parser until the whole header is there and has been checked. */
+class header_gate {
+public:
+    /**
+     * @brief Tells whether the parser may read.
+     * @param bytes Bytes from the start of the message, until the header has been checked.
+     * @param limits Bounds on the message.
+     * @param fault Receives why the header is refused, if it is.
+     * @return True once the header has been checked.
+     */
+    [[nodiscard]] bool isOpen(std::string_view bytes, const message_limits& limits, std::optional<parse_fault>& fault);
+
+private:
+    bool m_isOpen = false;
+};
+
 /**
  * @brief Copies the headers of a message of Beast.
  * @param fields The headers.
--- a/src/knapweedcroft/http/message.cpp
+++ b/src/knapweedcroft/http/message.cpp
@@ -1,9 +1,10 @@
 #include "knapweedcroft/http/message.hpp"
 
+#include "knapweedcroft/http/internal/text.hpp"
+
 #include <ostream> // Needed by Beast's header, which does not include it.
 
 #include <boost/beast/http/status.hpp>
-#include <event2/util.h>
 
 #include <algorithm>
 #include <array>
@@ -15,20 +16,6 @@
 static constexpr std::array<std::string_view, 9> hopByHopNames = { "connection", "keep-alive", "proxy-authenticate",
     "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade" };
 
-[[nodiscard]] static bool isSameName(std::string_view lhs, std::string_view rhs)
-{
-    return lhs.size() == rhs.size() && evutil_ascii_strncasecmp(lhs.data(), rhs.data(), lhs.size()) == 0;
-}
-
-[[nodiscard]] static std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
-        text.remove_prefix(1);
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
-        text.remove_suffix(1);
-    return text;
-}
-
 [[nodiscard]] static bool isHopByHop(std::string_view name)
 {
     return std::any_of(hopByHopNames.begin(), hopByHopNames.end(),
--- a/src/knapweedcroft/http/message.hpp
+++ b/src/knapweedcroft/http/message.hpp
@@ -43,7 +43,7 @@
 
 /** @brief Why a message could not be parsed. */
 struct parse_fault {
-    int status = 400; /*!< HTTP status for the sender: 400, 413 or 431. */
+    int status = 400; /*!< HTTP status for the sender of a request. */
     std::string message;
 };
 
--- a/src/knapweedcroft/http/request_parser.cpp
+++ b/src/knapweedcroft/http/request_parser.cpp
@@ -15,7 +15,7 @@
 struct request_parser::implementation {
     http::request_parser<http::string_body> parser;
     message_limits limits;
-    bool isHeaderChecked = false;
+    internal::header_gate gate;
 };
 
 request_parser::request_parser(const message_limits& limits)
@@ -33,20 +33,8 @@
 std::size_t request_parser::put(std::string_view bytes)
 {
     implementation& self = *m_implementation;
-    if (!self.isHeaderChecked) {
-        const std::size_t end = internal::headerEnd(bytes);
-        const std::size_t headerBytes = end == std::string_view::npos ? bytes.size() : end;
-        if (headerBytes > self.limits.maxHeaderBytes) {
-            m_fault = parse_fault { 431, "the header exceeds the limit in bytes; send less" };
-            return 0;
-        }
-        if (end == std::string_view::npos)
-            return 0;
-        m_fault = internal::checkHeader(bytes.substr(0, end));
-        if (m_fault)
-            return 0;
-        self.isHeaderChecked = true;
-    }
+    if (!self.gate.isOpen(bytes, self.limits, m_fault))
+        return 0;
     boost::system::error_code failure;
     const std::size_t used = self.parser.put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
     if (failure == http::error::body_limit)
--- a/src/knapweedcroft/http/response_parser.cpp
+++ b/src/knapweedcroft/http/response_parser.cpp
@@ -15,7 +15,7 @@
 
 struct response_parser::implementation {
     http::response_parser<http::string_body> parser;
-    bool isHeaderChecked = false;
+    internal::header_gate gate;
 };
 
 response_parser::response_parser(const message_limits& limits, bool toHead)
@@ -38,19 +38,8 @@
 
 std::size_t response_parser::put(std::string_view bytes)
 {
-    if (!m_implementation->isHeaderChecked) {
-        const std::size_t end = internal::headerEnd(bytes);
-        if ((end == std::string_view::npos ? bytes.size() : end) > m_limits.maxHeaderBytes) {
-            m_fault = parse_fault { 502, "the header of the response is too large" };
-            return 0;
-        }
-        if (end == std::string_view::npos)
-            return 0;
-        m_fault = internal::checkHeader(bytes.substr(0, end));
-        if (m_fault)
-            return 0;
-        m_implementation->isHeaderChecked = true;
-    }
+    if (!m_implementation->gate.isOpen(bytes, m_limits, m_fault))
+        return 0;
     boost::system::error_code failure;
     const std::size_t used = m_implementation->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), failure);
     if (failure && failure != http::error::need_more) {
--- a/test/knapweedcroft/gateway/room_control.cpp
+++ b/test/knapweedcroft/gateway/room_control.cpp
@@ -136,12 +136,12 @@
     profile.setServices({ "a", "b", "c", "d" });
     EXPECT_EQ(profile.originOf("entry"), entry_origin::unknown);
     for (int count = 0; count < 100; ++count) {
-        profile.count("clients", std::string(1, static_cast<char>('a' + count % 4)), at(0));
-        profile.count("calls", count % 2 == 0 ? "a" : "b", at(0));
+        profile.count("clients", std::string(1, static_cast<char>('a' + count % 4)));
+        profile.count("calls", count % 2 == 0 ? "a" : "b");
     }
     // A stray request, such as a test of the catalogue, must not make an entry one of clients.
-    profile.count("calls", "c", at(0));
-    profile.count("calls", "d", at(0));
+    profile.count("calls", "c");
+    profile.count("calls", "d");
     EXPECT_EQ(profile.originOf("clients"), entry_origin::clients);
     EXPECT_EQ(profile.originOf("calls"), entry_origin::upstreams);
 }
