Lower the floor of the room, so that demand of the most urgent rank alone can be cut

Cause: at the floor of 0.015 the most urgent rank kept 0.6 of its demand, which is too much in a deployment that has one rank only (test RoomControl.CanCutTheMostUrgentRankAlone failed with 0.6).

--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -16,11 +16,11 @@
 static constexpr double warmUpFactor = 2.0; // Upstreams take about twice the time while they warm up.
 // Part of the remaining target latency that the own data centre may use before another one is considered.
 static constexpr double ownShare = 0.45;
-// An upstream of another data centre takes what a full one cannot, as long as it keeps some slots for its own.
 // Requests arrive in bursts between two reports of the load, so the last slots are left for them.
 static constexpr double fullOccupancy = 0.85;
-static constexpr double leastFree = 0.02; // A full upstream is still taken if all are full.
+// An upstream of another data centre takes what a full one cannot, as long as it keeps some slots for its own.
 static constexpr double freeOccupancy = 0.75;
+static constexpr double leastFree = 0.02; // A full upstream is still taken if all are full.
 // Another data centre is used only if it is predicted to be faster by this factor.
 static constexpr double leastGain = 0.8;
 
--- a/src/knapweedcroft/gateway/room_control.cpp
+++ b/src/knapweedcroft/gateway/room_control.cpp
@@ -18,7 +18,8 @@
 // Whole requests reach the deep service within about 300 ms; gains per second beyond the inverse would oscillate.
 static constexpr double decreaseGain = 1.8; // Per second.
 static constexpr double increaseGain = 2.0; // Per second.
-static constexpr double leastShare = 0.015; // Enough requests to notice that there is room again.
+// The most urgent rank is cut to a sixth at this share, which must do for demand of that rank alone.
+static constexpr double leastShare = 0.004;
 
 } // namespace internal
 
--- a/test/knapweedcroft/gateway/room_control.cpp
+++ b/test/knapweedcroft/gateway/room_control.cpp
@@ -94,6 +94,18 @@
     EXPECT_LT(admittedShare(0.05, 7), admittedShare(0.05, 1));
 }
 
+// A deployment may have one rank only; its demand alone must not keep the deep service in overload.
+TEST(RoomControl, CanCutTheMostUrgentRankAlone)
+{
+    room_control control;
+    for (std::int64_t now = 0; now < 10'000; now += 10) {
+        control.offered(milliseconds { 1000 });
+        control.update({ 10, milliseconds { 500 } }, at(now));
+    }
+    EXPECT_LT(admittedShare(control.share(), 0), 0.2);
+    EXPECT_GT(admittedShare(control.share(), 2), 0.0);
+}
+
 TEST(DownstreamRoom, FollowsTheLeastRoomAndForgetsIt)
 {
     downstream_room room;
