Remove what nothing reads from the forwarded request, and copies of requests on its path

Change: the fields are gone, also from the wire; tcp_listener serves pipelined_server and peer_hub; formatHostPort is the inverse of parseHostPort and keeps the brackets of an IPv6 address, which the settings lost (test first: it failed with "::1:5"); events, forwarded requests and answers are handed over by move. Ruled out: sharing the request between origin and wire message by pointer; it would save one more copy but makes the message nullable.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -37,12 +37,12 @@
     m_directory.linked(makeHello());
 }
 
-gateway_actions gateway_core::handle(const gateway_event& event, time_point now, time_point wallNow)
+gateway_actions gateway_core::handle(gateway_event event, time_point now, time_point wallNow)
 {
     m_now = now;
     m_wallNow = wallNow;
     gateway_actions actions;
-    std::visit([this, &actions](const auto& typed) { on(typed, actions); }, event);
+    std::visit([this, &actions](auto& typed) { on(typed, actions); }, event);
     deliverLocally(actions);
     return actions;
 }
@@ -54,9 +54,9 @@
         const send_to_peer* sent = std::get_if<send_to_peer>(&actions[position]);
         if (sent == nullptr || sent->peer != m_settings.node)
             continue;
-        const peer_message message = std::move(std::get<send_to_peer>(actions[position]).message);
+        peer_message message = std::move(std::get<send_to_peer>(actions[position]).message);
         gateway_actions caused;
-        std::visit([this, &caused](const auto& typed) { receive(m_settings.node, typed, caused); }, message);
+        std::visit([this, &caused](auto& typed) { receive(m_settings.node, typed, caused); }, message);
         actions.erase(actions.begin() + static_cast<std::ptrdiff_t>(position));
         actions.insert(actions.begin() + static_cast<std::ptrdiff_t>(position), std::make_move_iterator(caused.begin()),
             std::make_move_iterator(caused.end()));
@@ -66,27 +66,30 @@
 
 // --- requests
 
-void gateway_core::on(const client_request& event, gateway_actions& actions) { m_origin.arrive(event, m_now, actions); }
+void gateway_core::on(client_request& event, gateway_actions& actions)
+{
+    m_origin.arrive(std::move(event), m_now, actions);
+}
 
 void gateway_core::on(const client_gone& event, gateway_actions& actions)
 {
     m_origin.abandon(event.handle, m_now, actions);
 }
 
-void gateway_core::on(const exchange_ended& event, gateway_actions& actions)
+void gateway_core::on(exchange_ended& event, gateway_actions& actions)
 {
-    if (m_served.finish(event, m_now, actions))
+    if (m_served.finish(std::move(event), m_now, actions))
         announceUpstream("upstream_unreachable", actions);
 }
 
-void gateway_core::receive(const node_name& peer, const forward_request& message, gateway_actions& actions)
+void gateway_core::receive(const node_name& peer, forward_request& message, gateway_actions& actions)
 {
-    m_served.receive(peer, message, m_now, actions);
+    m_served.receive(peer, std::move(message), m_now, actions);
 }
 
-void gateway_core::receive(const node_name& peer, const forward_answer& message, gateway_actions& actions)
+void gateway_core::receive(const node_name& peer, forward_answer& message, gateway_actions& actions)
 {
-    m_origin.finish(peer, message, m_now, actions);
+    m_origin.finish(peer, std::move(message), m_now, actions);
 }
 
 void gateway_core::receive(const node_name& peer, const cancel_message& message, gateway_actions& actions)
@@ -335,9 +338,9 @@
     scheduleDial(event.peer, internal::redialDelay);
 }
 
-void gateway_core::on(const message_received& event, gateway_actions& actions)
+void gateway_core::on(message_received& event, gateway_actions& actions)
 {
-    std::visit([this, &event, &actions](const auto& typed) { receive(event.peer, typed, actions); }, event.message);
+    std::visit([this, &event, &actions](auto& typed) { receive(event.peer, typed, actions); }, event.message);
 }
 
 void gateway_core::receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions)
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -45,7 +45,7 @@
      * @param wallNow Present wall-clock time.
      * @return What is to be done, in this order.
      */
-    [[nodiscard]] gateway_actions handle(const gateway_event& event, time_point now, time_point wallNow);
+    [[nodiscard]] gateway_actions handle(gateway_event event, time_point now, time_point wallNow);
 
     /** @brief Returns the time at which a `timer_fired` event is due, if any. */
     [[nodiscard]] std::optional<time_point> nextWakeup() const;
@@ -63,9 +63,9 @@
     [[nodiscard]] nlohmann::json describe() const;
 
 private:
-    void on(const client_request& event, gateway_actions& actions);
+    void on(client_request& event, gateway_actions& actions);
     void on(const client_gone& event, gateway_actions& actions);
-    void on(const exchange_ended& event, gateway_actions& actions);
+    void on(exchange_ended& event, gateway_actions& actions);
     void on(const announcement_received& event, gateway_actions& actions);
     void on(const leave_received& event, gateway_actions& actions);
     void on(const catalogue_read& event, gateway_actions& actions);
@@ -76,11 +76,11 @@
     void on(const link_suspected& event, gateway_actions& actions);
     void on(const link_opened& event, gateway_actions& actions);
     void on(const link_closed& event, gateway_actions& actions);
-    void on(const message_received& event, gateway_actions& actions);
+    void on(message_received& event, gateway_actions& actions);
     void on(const timer_fired& event, gateway_actions& actions);
 
-    void receive(const node_name& peer, const forward_request& message, gateway_actions& actions);
-    void receive(const node_name& peer, const forward_answer& message, gateway_actions& actions);
+    void receive(const node_name& peer, forward_request& message, gateway_actions& actions);
+    void receive(const node_name& peer, forward_answer& message, gateway_actions& actions);
     void receive(const node_name& peer, const cancel_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const catch_up_request_message& message, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -42,11 +42,6 @@
     return response;
 }
 
-[[nodiscard]] static std::string peerAddress(const gateway_program_settings& settings)
-{
-    return settings.peers.host + ":" + std::to_string(settings.peers.port);
-}
-
 static void flatten(const nlohmann::json& value, const std::string& prefix, std::string& text)
 {
     for (const auto& item : value.items()) {
@@ -70,11 +65,11 @@
     , m_clock { system_time_source {} }
     , m_log { "gateway" }
     , m_requestLog { "requests" }
-    , m_core { settings.gateway, charts.upstream, internal::peerAddress(settings), incarnation }
+    , m_core { settings.gateway, charts.upstream, formatHostPort(settings.peers), incarnation }
     , m_server { loop, pipelined_server_limits {},
         { [this](std::uint64_t number, opaque_request request) { onRequest(number, std::move(request)); },
             [this](std::uint64_t number) {
-                m_calls.erase(number);
+                m_arrivals.erase(number);
                 handle(client_gone { number });
             },
             [](const parse_fault& fault) {
@@ -116,9 +111,9 @@
     return m_server.listen(m_settings.clients.host, m_settings.clients.port);
 }
 
-void gateway_runtime::handle(const gateway_event& event)
+void gateway_runtime::handle(gateway_event event)
 {
-    gateway_actions actions = m_core.handle(event, m_clock.now(), m_clock.wallNow());
+    gateway_actions actions = m_core.handle(std::move(event), m_clock.now(), m_clock.wallNow());
     for (gateway_action& action : actions)
         perform(action);
     schedule();
@@ -181,7 +176,7 @@
     client_request& event = std::get<client_request>(read);
     if (event.deadline)
         event.deadline = *event.deadline - stallAllowance();
-    m_calls.emplace(number, client_call { m_clock.now() });
+    m_arrivals.emplace(number, m_clock.now());
     handle(std::move(event));
 }
 
@@ -192,11 +187,11 @@
 
 void gateway_runtime::perform(answer_client& action)
 {
-    const auto position = m_calls.find(action.handle);
-    if (position != m_calls.end()) {
+    const auto position = m_arrivals.find(action.handle);
+    if (position != m_arrivals.end()) {
         const bool isOwn = std::holds_alternative<own_answer>(action.answer);
-        m_metrics.record(isOwn ? "own_answer_latency" : "answer_latency", m_clock.now() - position->second.arrival);
-        m_calls.erase(position);
+        m_metrics.record(isOwn ? "own_answer_latency" : "answer_latency", m_clock.now() - position->second);
+        m_arrivals.erase(position);
     }
     if (const opaque_response* response = std::get_if<opaque_response>(&action.answer)) {
         m_server.answer(action.handle, *response);
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -64,7 +64,7 @@
      * @brief Reports an event to the gateway and does what it asks for.
      * @param event The event.
      */
-    void handle(const gateway_event& event);
+    void handle(gateway_event event);
 
     /** @brief Tells whether clients may send requests to this node. */
     [[nodiscard]] bool isReady() const { return m_core.isReady(); }
@@ -88,10 +88,6 @@
     [[nodiscard]] const clock& time() const noexcept { return m_clock; }
 
 private:
-    struct client_call {
-        time_point arrival;
-    };
-
     void onRequest(std::uint64_t number, opaque_request request);
     void perform(gateway_action& action);
     void perform(answer_client& action);
@@ -125,7 +121,7 @@
     http_server m_metricsServer;
     loop_timer m_wakeup;
     loop_timer m_tickTimer;
-    std::unordered_map<request_handle, client_call> m_calls;
+    std::unordered_map<request_handle, time_point> m_arrivals; /*!< Of the requests that wait for an answer. */
     std::unordered_map<std::uint64_t, std::uint64_t> m_exchanges; /*!< Exchange of the client by that of the core. */
     time_point m_lastTick;
     time_point m_stallEnd; /*!< Until then, what is read may have waited since before the stall. */
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -46,13 +46,13 @@
     m_split.reset();
 }
 
-void origin_requests::arrive(const client_request& event, time_point now, gateway_actions& actions)
+void origin_requests::arrive(client_request event, time_point now, gateway_actions& actions)
 {
     ++m_counters.received;
     const std::uint64_t id = ++m_lastId;
     origin_request& request = m_requests[id];
     request.handle = event.handle;
-    request.requestId = event.requestId;
+    request.requestId = std::move(event.requestId);
     request.arrival = now;
     request.deadline = now + event.deadline.value_or(internal::longestWait);
     request.clientDeadline = request.deadline;
@@ -79,7 +79,7 @@
         return;
     }
     request.service = m_split.choose(*request.entry);
-    request.request = event.request;
+    request.request = std::move(event.request);
     m_served.noteArrival(request.entry->name, now);
     m_allowance.setNodes(static_cast<std::uint32_t>(m_directory.nodes().size()) + 1);
     m_allowance.noteFirst(request.service, now);
@@ -152,8 +152,7 @@
     actions.emplace_back(send_to_peer { target.node, std::move(message) });
 }
 
-void origin_requests::finish(
-    const node_name& peer, const forward_answer& answer, time_point now, gateway_actions& actions)
+void origin_requests::finish(const node_name& peer, forward_answer answer, time_point now, gateway_actions& actions)
 {
     m_directory.updateLoad(peer, answer.load);
     const std::uint64_t id = answer.id.value();
@@ -162,7 +161,7 @@
         return;
     origin_request& request = position->second;
     m_served.noteAnswer(request.entry->name, answer, now - request.arrival <= request.entry->targetLatency, now);
-    const opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
+    opaque_response* response = std::get_if<opaque_response>(&answer.outcome);
     m_placement.ended(peer, request.entry->name,
         response == nullptr ? std::nullopt : std::optional<milliseconds> { answer.upstreamTime }, now);
     if (response != nullptr) {
@@ -171,7 +170,7 @@
         if (response->status >= firstServerError)
             log(log_level::info, "upstream_error", request,
                 { { "status", std::to_string(response->status) }, { "node", peer } }, now, actions);
-        actions.emplace_back(answer_client { request.handle, *response });
+        actions.emplace_back(answer_client { request.handle, std::move(*response) });
         remove(id);
         return;
     }
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -72,7 +72,7 @@
      * @param now Present time.
      * @param actions Receives what is to be done.
      */
-    void arrive(const client_request& event, time_point now, gateway_actions& actions);
+    void arrive(client_request event, time_point now, gateway_actions& actions);
 
     /**
      * @brief Gives up a request whose client has gone.
@@ -89,7 +89,7 @@
      * @param now Present time.
      * @param actions Receives what is to be done.
      */
-    void finish(const node_name& peer, const forward_answer& answer, time_point now, gateway_actions& actions);
+    void finish(const node_name& peer, forward_answer answer, time_point now, gateway_actions& actions);
 
     /**
      * @brief Settles the requests that were sent on a link which has closed.
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -39,16 +39,16 @@
 }
 
 void served_requests::receive(
-    const node_name& peer, const forward_request& message, time_point now, gateway_actions& actions)
+    const node_name& peer, forward_request received, time_point now, gateway_actions& actions)
 {
     ++m_counters.received;
     const std::uint64_t id = ++m_lastId;
-    served_request request;
+    served_request& request = m_requests[id];
     request.peer = peer;
-    request.message = message;
+    request.message = std::move(received);
+    const forward_request& message = request.message;
     request.deadline = now + message.deadline;
     request.target = now + message.target;
-    m_requests.emplace(id, std::move(request));
     m_ids.emplace(std::make_pair(peer, message.id), id);
     if (const std::optional<refusal_reason> reason = immediateRefusal(peer, message)) {
         refuse(id, forward_refusal { *reason, internal::unavailableRetry, false }, now, actions);
@@ -64,11 +64,10 @@
     slot_request slot;
     slot.id = id;
     slot.entry = message.entry;
-    slot.rank = message.rank;
     slot.isInvested = m_callers.originOf(message.entry) == entry_origin::upstreams;
     slot.hasAlternative = message.hasAlternative;
-    slot.target = now + message.target;
-    slot.deadline = now + message.deadline;
+    slot.target = request.target;
+    slot.deadline = request.deadline;
     apply(m_queue.offer(slot, now), now, actions);
 }
 
@@ -122,9 +121,8 @@
 
 void served_requests::updateRoom(time_point now)
 {
-    m_room.update(
-        room_sample { m_queue.load().slots, m_queue.load().queued > 0 ? m_queue.expectedRoom() : milliseconds {} },
-        now);
+    const upstream_load load = m_queue.load();
+    m_room.update(room_sample { load.slots, load.queued > 0 ? m_queue.expectedRoom() : milliseconds {} }, now);
 }
 
 void served_requests::apply(const slot_decisions& decisions, time_point now, gateway_actions& actions)
@@ -232,11 +230,11 @@
 }
 
 forward_outcome served_requests::outcomeOf(
-    const served_request& request, const upstream_response& response, gateway_actions& actions)
+    const served_request& request, upstream_response& response, gateway_actions& actions)
 {
     if (!response.isNotRun) {
         ++m_counters.answered;
-        return response.response;
+        return std::move(response.response);
     }
     ++m_counters.shed;
     log("request_shed", request, { { "status", std::to_string(response.response.status) } }, actions);
@@ -256,17 +254,17 @@
     return forward_failure { failure.cause.message };
 }
 
-bool served_requests::finish(const exchange_ended& event, time_point now, gateway_actions& actions)
+bool served_requests::finish(exchange_ended event, time_point now, gateway_actions& actions)
 {
     const auto position = m_requests.find(event.id);
     if (position == m_requests.end())
         return false;
     const served_request request = take(position);
-    const upstream_response* response = std::get_if<upstream_response>(&event.outcome);
+    upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
+    noteOutcome(request, event, now);
     forward_outcome outcome
         = response != nullptr ? outcomeOf(request, *response, actions) : outcomeOf(request, *failure, actions);
-    noteOutcome(request, event, now);
     const bool isMeasured = response != nullptr && !response->isNotRun;
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
     answer(request, std::move(outcome), now, actions);
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -52,7 +52,7 @@
      * @param now Present time.
      * @param actions Receives what is to be done.
      */
-    void receive(const node_name& peer, const forward_request& message, time_point now, gateway_actions& actions);
+    void receive(const node_name& peer, forward_request message, time_point now, gateway_actions& actions);
 
     /**
      * @brief Gives up a request that its sender no longer wants.
@@ -78,7 +78,7 @@
      * @param actions Receives what is to be done.
      * @return True if the upstream at the address is another one or none.
      */
-    [[nodiscard]] bool finish(const exchange_ended& event, time_point now, gateway_actions& actions);
+    [[nodiscard]] bool finish(exchange_ended event, time_point now, gateway_actions& actions);
 
     /**
      * @brief Uses the slots of the upstream, or refuses what waits if it takes no requests any more.
@@ -167,7 +167,7 @@
     void answer(const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const;
     void updateRoom(time_point now);
     [[nodiscard]] forward_outcome outcomeOf(
-        const served_request& request, const upstream_response& response, gateway_actions& actions);
+        const served_request& request, upstream_response& response, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
         const served_request& request, const exchange_failure& failure, gateway_actions& actions);
     void log(std::string event, const served_request& request, std::vector<std::pair<std::string, std::string>> fields,
--- a/src/knapweedcroft/gateway/upstream_queue.hpp
+++ b/src/knapweedcroft/gateway/upstream_queue.hpp
@@ -22,7 +22,6 @@
 struct slot_request {
     std::uint64_t id = 0;
     std::string entry;
-    std::uint32_t rank = 0; /*!< Importance; zero is the highest. */
     bool isInvested = false; /*!< Work on another request would be lost with it. */
     bool hasAlternative = false; /*!< The sender can ask another upstream. */
     time_point target; /*!< A later answer is late. */
@@ -58,10 +57,10 @@
  * @brief Keeps an upstream exactly full and holds the requests that wait for a slot.
  *
  * Load pattern: more requests than slots for seconds. The upstream's own queue is first-in-first-out and sheds at
- * random, so that every tree of calls loses a part and fails as a whole. Here requests wait by what an answer is still
- * worth: those that can be timely before those that can only be late, calls of work in progress before new requests,
- * then by rank and age. A request that cannot meet its deadline is refused at once. One that can only be late is
- * refused as soon as it has waited an eighth of its target latency, unless work in progress needs it.
+ * random, so that every tree of calls loses a part and fails as a whole. Here requests wait in the order in which they
+ * are due: those that can be timely by the time of their target, behind them those that can only be late by their
+ * deadline. A request that cannot meet its deadline is refused at once. One that can only be late is refused as soon as
+ * it has waited an eighth of its target latency, unless work in progress needs it.
  */
 class upstream_queue {
 public:
--- a/src/knapweedcroft/http/exchange_client.cpp
+++ b/src/knapweedcroft/http/exchange_client.cpp
@@ -254,8 +254,6 @@
 
 exchange_client::~exchange_client() { *m_isAlive = false; }
 
-void exchange_client::closeIdle() { m_idle.clear(); }
-
 std::unique_ptr<exchange_client::connection> exchange_client::takeIdle(const std::string& address)
 {
     const auto position = m_idle.find(address);
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -81,12 +81,6 @@
      */
     void cancel(std::uint64_t exchange);
 
-    /** @brief Closes all idle connections. */
-    void closeIdle();
-
-    /** @brief Returns the number of exchanges in progress. */
-    [[nodiscard]] std::size_t activeCount() const noexcept { return m_active.size(); }
-
     /** @brief Returns the counts since the start. */
     [[nodiscard]] const exchange_counters& counters() const noexcept { return m_counters; }
 
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -7,7 +7,6 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
 
 #include <sys/socket.h>
 
@@ -296,34 +295,18 @@
     : m_loop { loop }
     , m_limits { limits }
     , m_handlers { std::move(handlers) }
+    , m_listener { loop, internal::serverBacklog, [this](evutil_socket_t socket) { accept(socket); } }
 {
 }
 
 pipelined_server::~pipelined_server()
 {
-    if (m_listener != nullptr)
-        evconnlistener_free(m_listener);
     m_connections.clear();
 }
 
 result<std::string> pipelined_server::listen(const std::string& host, std::uint16_t port)
 {
-    const result<bound_socket> bound = bindSocket(host, port);
-    if (!hasValue(bound))
-        return errorOf(bound);
-    const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
-        pipelined_server& self = *static_cast<pipelined_server*>(argument);
-        self.m_loop.guard([&self, socket] { self.accept(socket); });
-    };
-    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
-    m_listener
-        = evconnlistener_new(m_loop.base(), accepted, this, flags, internal::serverBacklog, valueOf(bound).socket);
-    if (m_listener == nullptr) {
-        evutil_closesocket(valueOf(bound).socket);
-        return error { error_kind::connection_failed,
-            "cannot listen on " + valueOf(bound).address + "; choose another port" };
-    }
-    return valueOf(bound).address;
+    return m_listener.listen(host, port);
 }
 
 void pipelined_server::accept(evutil_socket_t socket)
@@ -379,8 +362,7 @@
 
 void pipelined_server::stopAccepting()
 {
-    if (m_listener != nullptr)
-        evconnlistener_disable(m_listener);
+    m_listener.stop();
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -4,6 +4,7 @@
 #include "knapweedcroft/core/error.hpp"
 #include "knapweedcroft/http/message.hpp"
 #include "knapweedcroft/net/event_loop.hpp"
+#include "knapweedcroft/net/tcp_listener.hpp"
 
 #include <event2/util.h>
 
@@ -15,8 +16,6 @@
 #include <unordered_map>
 #include <vector>
 
-struct evconnlistener;
-
 namespace knapweedcroft {
 
 /** @brief Bounds on what the clients of a server may send, and on how long they may take. */
@@ -109,7 +108,7 @@
     pipelined_server_handlers m_handlers;
     std::unordered_map<connection*, std::unique_ptr<connection>> m_connections;
     std::unordered_map<std::uint64_t, connection*> m_pending;
-    evconnlistener* m_listener = nullptr;
+    tcp_listener m_listener;
     std::uint64_t m_lastRequest = 0;
     std::size_t m_heldBytes = 0;
     bool m_isDraining = false;
--- a/src/knapweedcroft/net/fwd.hpp
+++ b/src/knapweedcroft/net/fwd.hpp
@@ -16,6 +16,7 @@
 class node_runtime;
 class peer_hub;
 class peer_link;
+class tcp_listener;
 
 struct bound_socket;
 struct host_port;
--- a/src/knapweedcroft/net/http_types.cpp
+++ b/src/knapweedcroft/net/http_types.cpp
@@ -89,4 +89,10 @@
     return parsed;
 }
 
+std::string formatHostPort(const host_port& address)
+{
+    const bool isBare = address.host.find(':') == std::string::npos;
+    return (isBare ? address.host : "[" + address.host + "]") + ":" + std::to_string(address.port);
+}
+
 } // namespace knapweedcroft
--- a/src/knapweedcroft/net/http_types.hpp
+++ b/src/knapweedcroft/net/http_types.hpp
@@ -85,6 +85,13 @@
  */
 [[nodiscard]] result<host_port> parseHostPort(std::string_view text);
 
+/**
+ * @brief Formats an address so that `parseHostPort` reads it again: an IPv6 address is put in brackets.
+ * @param address The address.
+ * @return `host:port`.
+ */
+[[nodiscard]] std::string formatHostPort(const host_port& address);
+
 } // namespace knapweedcroft
 
 #endif
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -3,8 +3,6 @@
 #include "knapweedcroft/net/socket_options.hpp"
 #include "knapweedcroft/wire/codec.hpp"
 
-#include <event2/listener.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +23,7 @@
     , m_handlers { std::move(handlers) }
     , m_clock { system_time_source {} }
     , m_random { settings.seed }
+    , m_listener { loop, internal::linkBacklog, [this](evutil_socket_t socket) { accept(socket); } }
     , m_tickTimer { loop, [this] { tick(); } }
     , m_lastTick { m_clock.now() }
     , m_isAlive { std::make_shared<bool>(true) }
@@ -35,27 +34,11 @@
 peer_hub::~peer_hub()
 {
     *m_isAlive = false;
-    if (m_listener != nullptr)
-        evconnlistener_free(m_listener);
 }
 
 result<std::string> peer_hub::listen(const std::string& host, std::uint16_t port)
 {
-    const result<bound_socket> bound = bindSocket(host, port);
-    if (!hasValue(bound))
-        return errorOf(bound);
-    const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
-        peer_hub& self = *static_cast<peer_hub*>(argument);
-        self.m_loop.guard([&self, socket] { self.accept(socket); });
-    };
-    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
-    m_listener = evconnlistener_new(m_loop.base(), accepted, this, flags, internal::linkBacklog, valueOf(bound).socket);
-    if (m_listener == nullptr) {
-        evutil_closesocket(valueOf(bound).socket);
-        return error { error_kind::connection_failed,
-            "cannot listen on " + valueOf(bound).address + "; choose another port" };
-    }
-    return valueOf(bound).address;
+    return m_listener.listen(host, port);
 }
 
 peer_hub::link_record* peer_hub::find(std::uint64_t id)
@@ -233,8 +216,7 @@
 void peer_hub::shutDown()
 {
     m_isShuttingDown = true;
-    if (m_listener != nullptr)
-        evconnlistener_disable(m_listener);
+    m_listener.stop();
     for (const std::pair<const std::uint64_t, std::unique_ptr<link_record>>& item : m_links)
         item.second->link->close();
 }
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -6,6 +6,7 @@
 #include "knapweedcroft/core/time.hpp"
 #include "knapweedcroft/net/event_loop.hpp"
 #include "knapweedcroft/net/peer_link.hpp"
+#include "knapweedcroft/net/tcp_listener.hpp"
 #include "knapweedcroft/node/actions.hpp"
 #include "knapweedcroft/node/events.hpp"
 #include "knapweedcroft/wire/messages.hpp"
@@ -21,7 +22,6 @@
 #include <unordered_set>
 #include <vector>
 
-struct evconnlistener;
 
 namespace knapweedcroft {
 
@@ -203,7 +203,7 @@
     std::map<std::uint64_t, std::unique_ptr<link_record>> m_links;
     std::map<node_name, peer_record> m_peers;
     std::map<node_name, std::vector<call_id>> m_undeliverable;
-    evconnlistener* m_listener = nullptr;
+    tcp_listener m_listener;
     loop_timer m_tickTimer;
     time_point m_lastTick;
     std::shared_ptr<bool> m_isAlive;
--- a/src/knapweedcroft/net/socket_options.cpp
+++ b/src/knapweedcroft/net/socket_options.cpp
@@ -1,5 +1,7 @@
 #include "knapweedcroft/net/socket_options.hpp"
 
+#include "knapweedcroft/net/http_types.hpp"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -24,12 +26,6 @@
         reinterpret_cast<sockaddr_in*>(&address)->sin_port = htons(port);
 }
 
-[[nodiscard]] static std::string format(const std::string& host, std::uint16_t port)
-{
-    const std::string shown = host.find(':') == std::string::npos ? host : "[" + host + "]";
-    return shown + ":" + std::to_string(port);
-}
-
 } // namespace internal
 
 void setNoDelay(evutil_socket_t socket) noexcept
@@ -55,7 +51,7 @@
 
 result<bound_socket> bindSocket(const std::string& host, std::uint16_t port)
 {
-    const std::string text = internal::format(host, port);
+    const std::string text = formatHostPort(host_port { host, port });
     sockaddr_storage address {};
     int size = sizeof(address);
     // The function refuses port 0, so the port is set apart.
@@ -74,7 +70,7 @@
         evutil_closesocket(bound.socket);
         return error { error_kind::connection_failed, "cannot bind to " + text + "; choose another address or port" };
     }
-    bound.address = internal::format(host, internal::portOf(address));
+    bound.address = formatHostPort(host_port { host, internal::portOf(address) });
     return bound;
 }
 
--- a/src/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.cpp
@@ -54,8 +54,7 @@
         settings.gateway.seed = hash64(settings.gateway.node);
     });
     readPart(document, "upstream", [&settings](json_reader& reader) {
-        const host_port address = readAddress(reader, "address");
-        settings.gateway.upstreamAddress = address.host + ":" + std::to_string(address.port);
+        settings.gateway.upstreamAddress = formatHostPort(readAddress(reader, "address"));
         const milliseconds interval = readDurationText(reader, "announcement_interval", milliseconds { 1500 });
         settings.gateway.upstreamSilence = interval * missedAnnouncements + announcementMargin;
     });
@@ -89,8 +88,7 @@
     internal::readGateway(reader, settings);
     internal::readListen(reader, settings);
     internal::readPart(reader, "store", [&settings](json_reader& part) {
-        const host_port address = internal::readAddress(part, "address");
-        settings.store = address.host + ":" + std::to_string(address.port);
+        settings.store = formatHostPort(internal::readAddress(part, "address"));
     });
     settings.grace = internal::readDurationText(reader, "grace", settings.grace);
     settings.chartsDirectory = reader.string("charts", settings.chartsDirectory);
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -119,7 +119,7 @@
         map_builder header;
         header.add("k", "fwd").add("id", value.id.value()).add("s", value.service);
         header.add("c", value.caller).add("e", value.entry).add("r", value.requestId);
-        header.add("p", value.rank).add("i", value.isInvested).add("a", value.hasAlternative);
+        header.add("p", value.rank).add("a", value.hasAlternative);
         header.add("d", value.deadline.microseconds()).add("t", value.target.microseconds());
         header.add("m", value.request.method).add("u", value.request.target);
         header.add("h", toJson(value.request.headers));
@@ -438,7 +438,6 @@
     message.entry = reader.text("e", maxTextBytes);
     message.requestId = reader.text("r", maxTextBytes);
     message.rank = readCount(reader, "p");
-    message.isInvested = reader.boolean("i");
     message.hasAlternative = reader.boolean("a");
     message.deadline = readDuration(reader, "d");
     message.target = readDuration(reader, "t");
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -159,7 +159,6 @@
     std::string entry; /*!< Name of the catalogue entry. */
     std::string requestId; /*!< Identifier that the client gave the request. */
     std::uint32_t rank = 0; /*!< Importance; zero is the highest. */
-    bool isInvested = false; /*!< An upstream made the request, while it works on another one. */
     bool hasAlternative = false; /*!< The sender can choose another upstream if this one refuses. */
     milliseconds deadline; /*!< Time remaining until the answer is no longer awaited. */
     milliseconds target; /*!< Time remaining until the answer is late; negative if it is. */
--- a/test/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/test/knapweedcroft/settings/gateway_program_settings.cpp
@@ -34,6 +34,18 @@
     EXPECT_EQ(valueOf(settings).gateway.upstreamSilence, milliseconds { 5000 });
 }
 
+// An address without its brackets cannot be parsed again, so that every request to such an upstream would fail.
+TEST(GatewayProgramSettings, KeepsTheBracketsOfAnIpv6Address)
+{
+    nlohmann::json document = validSettings();
+    document["upstream"]["address"] = "[::1]:5";
+    document["store"]["address"] = "[::1]:6";
+    const result<gateway_program_settings> settings = readGatewaySettings(document, "settings");
+    ASSERT_TRUE(hasValue(settings)) << errorOf(settings).message;
+    EXPECT_EQ(valueOf(settings).gateway.upstreamAddress, "[::1]:5");
+    EXPECT_EQ(valueOf(settings).store, "[::1]:6");
+}
+
 TEST(GatewayProgramSettings, NamesTheFieldThatIsWrong)
 {
     const std::vector<invalid_case> rows { { "/node/name", 7, "name" }, { "/listen/clients", "nowhere", "clients" },
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -73,7 +73,6 @@
     forward.entry = "r-1";
     forward.requestId = "id \xff";
     forward.rank = 2;
-    forward.isInvested = true;
     forward.hasAlternative = true;
     forward.deadline = milliseconds::fromMicroseconds(1234);
     forward.target = milliseconds::fromMicroseconds(-5);
