Let reports of load fade with their age; add a fault soak of the real program

Only answers tell a node's load. Ruled out: the room control; it read the local queue rightly. A report of load to all nodes every second: it costs bytes between data centres in proportion to the square of the nodes. Change: the told load counts half after a second. The test fails with the fading left out.

It checks from what callers and upstreams saw: at most once, truth of "not run", answers that belong to their request, an answer to each request, repeats within the budget, service on every node afterwards, exit status 0. The setting listen.announced_peers lets a node announce another address for links than the one it listens on.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -122,7 +122,7 @@
 void gateway_core::announceUpstream(std::string_view cause, gateway_actions& actions)
 {
     const upstream_status_message status = ownStatus();
-    m_directory.update(m_settings.node, status);
+    m_directory.update(m_settings.node, status, m_now);
     m_served.upstreamChanged(m_now, actions);
     actions.emplace_back(internal::logLine(log_level::info, std::string { cause },
         { { "upstream", status.upstream }, { "started_ms", std::to_string(status.startedAt) },
@@ -229,7 +229,7 @@
         return;
     m_isPublished = true;
     const upstream_status_message status = ownStatus();
-    m_directory.update(m_settings.node, status);
+    m_directory.update(m_settings.node, status, m_now);
     m_served.upstreamChanged(m_now, actions);
     tellPeers(status, actions);
     actions.emplace_back(internal::logLine(log_level::info, "upstream_assumed",
@@ -345,7 +345,7 @@
 
 void gateway_core::receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions)
 {
-    if (m_directory.update(peer, message)) {
+    if (m_directory.update(peer, message, m_now)) {
         m_origin.upstreamReplaced(peer);
         actions.emplace_back(internal::logLine(log_level::info, "peer_upstream_changed",
             { { "node", peer }, { "upstream", message.upstream },
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -65,7 +65,8 @@
     , m_clock { system_time_source {} }
     , m_log { "gateway" }
     , m_requestLog { "requests" }
-    , m_core { settings.gateway, charts.upstream, formatHostPort(settings.peers), incarnation }
+    , m_core { settings.gateway, charts.upstream, formatHostPort(settings.announcedPeers.value_or(settings.peers)),
+        incarnation }
     , m_server { loop, pipelined_server_limits {},
         { [this](std::uint64_t number, opaque_request request) { onRequest(number, std::move(request)); },
             [this](std::uint64_t number) {
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -139,7 +139,7 @@
         position->second.isSuspected = isSuspected;
 }
 
-bool node_directory::update(const node_name& node, const upstream_status_message& status)
+bool node_directory::update(const node_name& node, const upstream_status_message& status, time_point now)
 {
     const auto position = m_nodes.find(node);
     if (position == m_nodes.end())
@@ -153,14 +153,17 @@
     known.record.upstream.state = status.isServing ? upstream_state::serving : upstream_state::draining;
     known.isServing = status.isServing;
     known.status = status;
+    known.loadAt = now;
     return isChanged;
 }
 
-void node_directory::updateLoad(const node_name& node, const upstream_load& load)
+void node_directory::updateLoad(const node_name& node, const upstream_load& load, time_point now)
 {
     const auto position = m_nodes.find(node);
-    if (position != m_nodes.end() && position->second.status)
-        position->second.status->load = load;
+    if (position == m_nodes.end() || !position->second.status)
+        return;
+    position->second.status->load = load;
+    position->second.loadAt = now;
 }
 
 void node_directory::markNotServing(const node_name& node)
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -41,6 +41,7 @@
     bool isSuspected = false; /*!< The link carries no answers at present. */
     bool isServing = false; /*!< Its upstream takes new requests, as far as is known. */
     std::optional<upstream_status_message> status; /*!< Newest status from the link. */
+    time_point loadAt; /*!< When the load of the status was told. */
 };
 
 /**
@@ -94,16 +95,18 @@
      * @brief Takes the status of a peer's upstream.
      * @param node The peer.
      * @param status The status.
+     * @param now Present time.
      * @return True if the peer's upstream started or stopped taking requests, or is another one.
      */
-    bool update(const node_name& node, const upstream_status_message& status);
+    bool update(const node_name& node, const upstream_status_message& status, time_point now);
 
     /**
      * @brief Takes the load that came with an answer.
      * @param node The peer.
      * @param load The load.
+     * @param now Present time.
      */
-    void updateLoad(const node_name& node, const upstream_load& load);
+    void updateLoad(const node_name& node, const upstream_load& load, time_point now);
 
     /**
      * @brief Takes note that a peer refuses requests until its next status.
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -98,7 +98,7 @@
     return m_end && now - m_drainingSince > internal::lateArrival && request.deadline > *m_end;
 }
 
-std::vector<placement_candidate> origin_requests::candidatesFor(const origin_request& request) const
+std::vector<placement_candidate> origin_requests::candidatesFor(const origin_request& request, time_point now) const
 {
     std::vector<placement_candidate> candidates;
     for (const known_node* known : m_directory.nodesOf(request.service)) {
@@ -108,7 +108,8 @@
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
         if (!isReachable || isTried)
             continue;
-        candidates.push_back({ node, known->record.data_centre, known->status->load, known->status->warmUpLeft });
+        candidates.push_back(
+            { node, known->record.data_centre, known->status->load, known->status->warmUpLeft, now - known->loadAt });
     }
     return candidates;
 }
@@ -116,7 +117,7 @@
 void origin_requests::place(std::uint64_t id, time_point now, gateway_actions& actions)
 {
     origin_request& request = m_requests.at(id);
-    const std::vector<placement_candidate> candidates = candidatesFor(request);
+    const std::vector<placement_candidate> candidates = candidatesFor(request, now);
     const milliseconds aim = std::min(request.entry->targetLatency, request.entry->timeout);
     const placement_request need { request.entry->name, aim - (now - request.arrival) };
     const std::optional<std::size_t> chosen = m_placement.choose(candidates, need, now);
@@ -154,7 +155,7 @@
 
 void origin_requests::finish(const node_name& peer, forward_answer answer, time_point now, gateway_actions& actions)
 {
-    m_directory.updateLoad(peer, answer.load);
+    m_directory.updateLoad(peer, answer.load, now);
     const std::uint64_t id = answer.id.value();
     const auto position = m_requests.find(id);
     if (position == m_requests.end() || position->second.node != peer)
@@ -221,7 +222,7 @@
     ++request.arrivals;
     request.mayHaveRun = true;
     m_placement.failed(request.node, now);
-    const bool mayRepeat = request.entry->isIdempotent && !candidatesFor(request).empty();
+    const bool mayRepeat = request.entry->isIdempotent && !candidatesFor(request, now).empty();
     if (mayRepeat && maySendAgain(request, now)) {
         ++m_counters.repeated;
         log(log_level::info, "request_repeated", request, { { "cause", cause }, { "node", request.node } }, now,
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -145,7 +145,7 @@
     void place(std::uint64_t id, time_point now, gateway_actions& actions);
     void send(std::uint64_t id, const placement_candidate& target, bool hasAlternative, time_point now,
         gateway_actions& actions);
-    [[nodiscard]] std::vector<placement_candidate> candidatesFor(const origin_request& request) const;
+    [[nodiscard]] std::vector<placement_candidate> candidatesFor(const origin_request& request, time_point now) const;
     [[nodiscard]] bool isTooLate(const origin_request& request, time_point now) const;
     [[nodiscard]] bool maySendAgain(const origin_request& request, time_point now);
     void takeRefusal(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/placement.cpp
+++ b/src/knapweedcroft/gateway/placement.cpp
@@ -13,6 +13,9 @@
 static constexpr double failureHalfLife = 1500.0; // In ms.
 // A failure counts like this many times the mean time of the entry, so that failing fast does not look like speed.
 static constexpr double failurePenalty = 0.5;
+// In ms. The load of an upstream is told by its answers only: one that looked full and gets no requests since then must
+// get one again, or it would look full for ever.
+static constexpr double loadHalfLife = 1000.0;
 static constexpr double warmUpFactor = 2.0; // Upstreams take about twice the time while they warm up.
 // Part of the remaining target latency that the own data centre may use before another one is considered.
 static constexpr double ownShare = 0.45;
@@ -67,21 +70,25 @@
     if (milliseconds {} < candidate.warmUpLeft)
         time *= internal::warmUpFactor;
     const double slots = std::max(1.0, static_cast<double>(candidate.load.slots));
-    const double outstanding = measured == nullptr ? 0.0 : static_cast<double>(measured->outstanding);
-    const double reported = static_cast<double>(candidate.load.running + candidate.load.queued);
-    const double excess = std::max(0.0, std::max(reported, outstanding) + 1.0 - slots);
+    const double excess = std::max(0.0, inUse(candidate) + 1.0 - slots);
     const double occupancy = std::max(candidate.load.serviceTime.count(), 1.0);
     const double failures = recentFailures(measured, now) * internal::failurePenalty * time;
     return milliseconds::fromFraction(time + excess / slots * occupancy + failures);
 }
 
-double placement::occupancy(const placement_candidate& candidate) const
+// Slots that are taken or asked for: as the upstream told, or as this node knows by its own requests.
+double placement::inUse(const placement_candidate& candidate) const
 {
     const node_measurements* measured = find(candidate.node);
     const double outstanding = measured == nullptr ? 0.0 : static_cast<double>(measured->outstanding);
-    const double reported = static_cast<double>(candidate.load.running + candidate.load.queued);
+    const double told = static_cast<double>(candidate.load.running + candidate.load.queued);
+    return std::max(told * internal::decay(candidate.loadAge, internal::loadHalfLife), outstanding);
+}
+
+double placement::occupancy(const placement_candidate& candidate) const
+{
     const double slots = std::max(1.0, static_cast<double>(candidate.load.slots));
-    return (std::max(reported, outstanding) + 1.0) / slots;
+    return (inUse(candidate) + 1.0) / slots;
 }
 
 // Shares the requests among several upstreams by their speed and free slots. Always taking the best one would send all
--- a/src/knapweedcroft/gateway/placement.hpp
+++ b/src/knapweedcroft/gateway/placement.hpp
@@ -21,6 +21,7 @@
     std::string data_centre;
     upstream_load load; /*!< Newest load that is known. */
     milliseconds warmUpLeft; /*!< Time for which it stays slow after its start. */
+    milliseconds loadAge; /*!< Time since the load was told. */
 };
 
 /** @brief What a request needs. */
@@ -109,6 +110,7 @@
         const node_measurements* measured, const std::string& entry, time_point now) const;
     [[nodiscard]] std::optional<std::size_t> pick(
         const std::vector<placement_candidate>& candidates, const std::string& entry, bool isOwn, time_point now);
+    [[nodiscard]] double inUse(const placement_candidate& candidate) const;
     [[nodiscard]] double occupancy(const placement_candidate& candidate) const;
     [[nodiscard]] double recentFailures(const node_measurements* measured, time_point now) const;
     [[nodiscard]] const node_measurements* find(const node_name& node) const;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -38,8 +38,7 @@
                                                                 : refusal_reason::no_upstream;
 }
 
-void served_requests::receive(
-    const node_name& peer, forward_request received, time_point now, gateway_actions& actions)
+void served_requests::receive(const node_name& peer, forward_request received, time_point now, gateway_actions& actions)
 {
     ++m_counters.received;
     const std::uint64_t id = ++m_lastId;
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -299,10 +299,7 @@
 {
 }
 
-pipelined_server::~pipelined_server()
-{
-    m_connections.clear();
-}
+pipelined_server::~pipelined_server() { m_connections.clear(); }
 
 result<std::string> pipelined_server::listen(const std::string& host, std::uint16_t port)
 {
@@ -360,9 +357,6 @@
         unused->end();
 }
 
-void pipelined_server::stopAccepting()
-{
-    m_listener.stop();
-}
+void pipelined_server::stopAccepting() { m_listener.stop(); }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -31,10 +31,7 @@
     m_tickTimer.start(m_settings.pingInterval);
 }
 
-peer_hub::~peer_hub()
-{
-    *m_isAlive = false;
-}
+peer_hub::~peer_hub() { *m_isAlive = false; }
 
 result<std::string> peer_hub::listen(const std::string& host, std::uint16_t port)
 {
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -22,7 +22,6 @@
 #include <unordered_set>
 #include <vector>
 
-
 namespace knapweedcroft {
 
 /** @brief Times of the links between nodes. */
--- a/src/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.cpp
@@ -74,6 +74,8 @@
         settings.readiness = readAddress(reader, "readiness");
         settings.announcements = readAddress(reader, "announcements");
         settings.peers = readAddress(reader, "peers");
+        if (!reader.string("announced_peers", "").empty())
+            settings.announcedPeers = readAddress(reader, "announced_peers");
         if (!reader.string("metrics", "").empty())
             settings.metrics = readAddress(reader, "metrics");
     });
@@ -87,9 +89,8 @@
     json_reader reader { document, context };
     internal::readGateway(reader, settings);
     internal::readListen(reader, settings);
-    internal::readPart(reader, "store", [&settings](json_reader& part) {
-        settings.store = formatHostPort(internal::readAddress(part, "address"));
-    });
+    internal::readPart(reader, "store",
+        [&settings](json_reader& part) { settings.store = formatHostPort(internal::readAddress(part, "address")); });
     settings.grace = internal::readDurationText(reader, "grace", settings.grace);
     settings.chartsDirectory = reader.string("charts", settings.chartsDirectory);
     const std::string level = reader.string("log_level", "info");
--- a/src/knapweedcroft/settings/gateway_program_settings.hpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.hpp
@@ -20,6 +20,7 @@
     host_port readiness; /*!< Health checks of this node. */
     host_port announcements; /*!< The upstream of this host announces itself here. */
     host_port peers; /*!< Other nodes open links here. */
+    std::optional<host_port> announcedPeers; /*!< Address for links that other nodes are told, if it is not `peers`. */
     std::optional<host_port> metrics; /*!< Counters and latencies, as text. */
     std::string store; /*!< `host:port` of the platform's store. */
     milliseconds grace { 6000 }; /*!< Time from the signal to stop to the end of the process. */
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -57,10 +57,10 @@
 {
     node_directory directory;
     directory.linked(hello("n"));
-    EXPECT_TRUE(directory.update("n", status(200, false)));
+    EXPECT_TRUE(directory.update("n", status(200, false), time_point {}));
     directory.apply(record("n", 200, 10));
     EXPECT_FALSE(directory.find("n")->isServing);
-    EXPECT_TRUE(directory.update("n", status(200, true)));
+    EXPECT_TRUE(directory.update("n", status(200, true), time_point {}));
     EXPECT_TRUE(directory.find("n")->isServing);
 }
 
--- a/test/knapweedcroft/gateway/placement.cpp
+++ b/test/knapweedcroft/gateway/placement.cpp
@@ -60,6 +60,16 @@
 }
 
 // A slow upstream made a whole data centre late while the next one had time.
+// An upstream that answered once while it was busy looked full for the rest of the day, as only answers tell the load;
+// the own data centre's upstream had a queue of three times its slots meanwhile.
+TEST(Placement, AsksAnUpstreamAgainThatLookedFullLongAgo)
+{
+    placement chooser { "z1", 1 };
+    std::vector<placement_candidate> candidates { candidate("far", "z2", 9), candidate("near", "z1", 10) };
+    candidates[0].loadAge = milliseconds { 2000 };
+    EXPECT_EQ(chosenNodes(chooser, candidates, 100, 0)["far"], 100);
+}
+
 TEST(Placement, LeavesASlowUpstreamThatWouldMissTheTarget)
 {
     placement chooser { "z1", 1 };
--- /dev/null
+++ b/test/platform/soak/request_ledger.cpp
@@ -0,0 +1,138 @@
+#include "soak/request_ledger.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace knapweedcroft::platform {
+
+namespace internal {
+
+static constexpr int okStatus = 200;
+
+// These statuses promise that the request did not run and never will.
+[[nodiscard]] static bool isPromiseNotRun(int status)
+{
+    const std::set<int> promises { 408, 421, 429, 503 };
+    return promises.count(status) != 0;
+}
+
+// 500 comes from an upstream whose own call failed; 502 and 504 promise nothing.
+[[nodiscard]] static bool isExpected(int status)
+{
+    const std::set<int> expected { 200, 500, 502, 503, 504 };
+    return expected.count(status) != 0;
+}
+
+} // namespace internal
+
+void request_ledger::sent(const std::string& id, const std::string& node, const soak_entry& entry)
+{
+    request& added = m_requests[id];
+    added.node = node;
+    added.service = entry.service;
+    added.path = entry.path;
+    added.isIdempotent = entry.isIdempotent;
+    added.isExcused = m_unsteady.count(node) != 0;
+}
+
+void request_ledger::ended(const std::string& id, const exchange_outcome& outcome)
+{
+    request& seen = m_requests[id];
+    seen.hasEnded = true;
+    if (const opaque_response* response = std::get_if<opaque_response>(&outcome)) {
+        seen.status = response->status;
+        seen.body = response->body;
+    } else {
+        seen.failure = std::get<exchange_failure>(outcome).cause.message;
+    }
+}
+
+void request_ledger::excuse(const std::string& node)
+{
+    for (std::pair<const std::string, request>& item : m_requests) {
+        if (item.second.node == node && !item.second.hasEnded)
+            item.second.isExcused = true;
+    }
+}
+
+void request_ledger::setUnsteady(const std::string& node, bool isUnsteady)
+{
+    if (isUnsteady)
+        m_unsteady.insert(node);
+    else
+        m_unsteady.erase(node);
+}
+
+std::string request_ledger::bodyFor(const std::string& id, const std::string& upstream)
+{
+    return "ran " + id + " at " + upstream;
+}
+
+bool request_ledger::isOpen(const std::string& id) const
+{
+    const auto position = m_requests.find(id);
+    return position != m_requests.end() && !position->second.hasEnded && !position->second.hasLeft;
+}
+
+std::size_t request_ledger::openCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(), [](const std::pair<const std::string, request>& item) {
+            return !item.second.hasEnded && !item.second.hasLeft;
+        }));
+}
+
+std::string request_ledger::summary() const
+{
+    std::map<int, std::size_t> counts;
+    for (const std::pair<const std::string, request>& item : m_requests)
+        ++counts[item.second.status];
+    std::ostringstream text;
+    text << m_requests.size() << " requests";
+    for (const std::pair<const int, std::size_t>& item : counts)
+        text << "; " << (item.first == 0 ? std::string { "no answer" } : std::to_string(item.first)) << ": "
+             << item.second;
+    return text.str();
+}
+
+void request_ledger::check(
+    const std::string& id, const request& seen, std::size_t maxAttempts, std::vector<std::string>& found)
+{
+    const std::string name = seen.path + " " + id + " on " + seen.node + ": ";
+    if (!seen.isIdempotent && seen.runs.size() > 1)
+        found.push_back(name + "ran " + std::to_string(seen.runs.size()) + " times, though it must run at most once");
+    if (seen.arrivals > maxAttempts)
+        found.push_back(name + "reached upstreams " + std::to_string(seen.arrivals) + " times");
+    if (internal::isPromiseNotRun(seen.status) && !seen.runs.empty())
+        found.push_back(name + "answered " + std::to_string(seen.status) + ", though it ran at " + seen.runs.front());
+    const auto isAnswerOf = [&id, &seen](const std::string& run) { return seen.body == bodyFor(id, run); };
+    if (seen.status == internal::okStatus && std::none_of(seen.runs.begin(), seen.runs.end(), isAnswerOf))
+        found.push_back(name + "got an answer that no upstream gave to it: " + seen.body);
+    if (seen.status != 0 && !internal::isExpected(seen.status))
+        found.push_back(name + "unexpected status " + std::to_string(seen.status) + " " + seen.body);
+    if (seen.status == 0 && !seen.isExcused && !seen.hasLeft)
+        found.push_back(name + "no answer, though its node was not disturbed: " + seen.failure);
+}
+
+std::vector<std::string> request_ledger::violations(const repeat_bound& bound, std::size_t maxAttempts) const
+{
+    std::vector<std::string> found;
+    std::map<std::string, std::size_t> requests;
+    std::map<std::string, std::size_t> repeats;
+    for (const std::pair<const std::string, request>& item : m_requests) {
+        const request& seen = item.second;
+        check(item.first, seen, maxAttempts, found);
+        ++requests[seen.service];
+        repeats[seen.service] += seen.arrivals > 1 ? seen.arrivals - 1 : 0;
+    }
+    for (const std::pair<const std::string, std::size_t>& item : repeats) {
+        const double most = bound.ratio * static_cast<double>(requests[item.first])
+            + bound.slack * static_cast<double>(bound.windows);
+        if (static_cast<double>(item.second) > most)
+            found.push_back("service " + item.first + ": " + std::to_string(item.second) + " repeats for "
+                + std::to_string(requests[item.first]) + " requests");
+    }
+    return found;
+}
+
+} // namespace knapweedcroft::platform
--- /dev/null
+++ b/test/platform/soak/upstream_stand_in.cpp
@@ -0,0 +1,188 @@
+#include "soak/upstream_stand_in.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace knapweedcroft::platform {
+
+namespace internal {
+
+static constexpr milliseconds announcementInterval { 500 };
+static constexpr std::size_t queueLength = 4;
+static constexpr int okStatus = 200;
+static constexpr int callFailedStatus = 500;
+static constexpr int misdirectedStatus = 421;
+static constexpr int fullStatus = 503;
+
+[[nodiscard]] static std::string headerOf(const opaque_request& request, std::string_view name)
+{
+    return findHeader(request.headers, name).value_or("");
+}
+
+} // namespace internal
+
+upstream_stand_in::upstream_stand_in(event_loop& loop, upstream_place place, const std::vector<soak_entry>& entries,
+    request_ledger& ledger, std::uint64_t seed)
+    : m_loop { loop }
+    , m_place { std::move(place) }
+    , m_entries { entries }
+    , m_ledger { ledger }
+    , m_random { seed }
+    , m_clock { system_time_source {} }
+    , m_calls { loop, exchange_client_settings {} }
+    , m_control { loop, http_client_settings {} }
+    , m_announcements { loop, [this] { announce(); } }
+{
+}
+
+void upstream_stand_in::start()
+{
+    if (m_server)
+        return;
+    m_id = "i-" + m_place.node + "-" + std::to_string(++m_incarnations);
+    m_sequence = 0;
+    m_server = std::make_unique<pipelined_server>(m_loop, pipelined_server_limits {},
+        pipelined_server_handlers {
+            [this](std::uint64_t request, const opaque_request& message) { receive(request, message); },
+            [this](std::uint64_t request) {
+                const auto position = std::find_if(
+                    m_jobs.begin(), m_jobs.end(), [request](const std::pair<const std::uint64_t, job>& item) {
+                        return item.second.request == request;
+                    });
+                if (position == m_jobs.end())
+                    return;
+                abandonCall(position->second);
+                m_jobs.erase(position);
+            },
+            [](const parse_fault& fault) {
+                return opaque_response { fault.status, {}, {} };
+            } });
+    const result<std::string> listening = m_server->listen(m_place.address.host, m_place.address.port);
+    if (!hasValue(listening))
+        throw std::runtime_error { errorOf(listening).message };
+    announce();
+}
+
+void upstream_stand_in::crash()
+{
+    m_announcements.stop();
+    for (const std::pair<const std::uint64_t, job>& item : m_jobs)
+        abandonCall(item.second);
+    m_jobs.clear();
+    m_server.reset();
+}
+
+void upstream_stand_in::announce()
+{
+    m_announcements.start(internal::announcementInterval);
+    const nlohmann::json body = { { "Service", m_place.service }, { "Address", formatHostPort(m_place.address) },
+        { "Zone", m_place.data_centre }, { "Version", "v1" }, { "Slots", slots }, { "State", "ready" },
+        { "ColdRemaining", "0ms" }, { "Sequence", ++m_sequence } };
+    http_client_request request;
+    request.address = m_place.control;
+    request.method = http_method::put;
+    request.target = "/knapweedcroft/instances/" + m_id;
+    request.contentType = "application/json";
+    request.body = body.dump();
+    request.timeout = milliseconds { 1000 };
+    // An announcement that fails is followed by the next one.
+    m_control.send(request, [](const http_outcome&) {});
+}
+
+void upstream_stand_in::receive(std::uint64_t request, const opaque_request& message)
+{
+    const std::string id = internal::headerOf(message, "X-Request-Id");
+    m_ledger.arrived(id);
+    const auto entry = std::find_if(m_entries.begin(), m_entries.end(), [this, &message](const soak_entry& candidate) {
+        return candidate.service == m_place.service && message.target.find(candidate.path) == 0;
+    });
+    if (entry == m_entries.end() || internal::headerOf(message, "X-Expect-Instance") != m_id) {
+        reject(request, id, internal::misdirectedStatus);
+        return;
+    }
+    if (m_jobs.size() >= slots + internal::queueLength) {
+        reject(request, id, internal::fullStatus);
+        return;
+    }
+    m_ledger.began(id, m_id);
+    const std::uint64_t number = ++m_lastJob;
+    job& added = m_jobs[number];
+    added.request = request;
+    added.id = id;
+    added.entry = &*entry;
+    const std::string deadline = internal::headerOf(message, "X-Deadline-Ms");
+    added.deadline = m_clock.now() + milliseconds { std::stol("0" + deadline) };
+    // The job and its timer may go while the timer's callback runs, so the work is done after it.
+    added.timer
+        = std::make_unique<loop_timer>(m_loop, [this, number] { m_loop.post([this, number] { work(number); }); });
+    std::uniform_int_distribution<std::int64_t> serviceTime { 5, 30 };
+    added.timer->start(milliseconds { serviceTime(m_random) * m_slowness });
+}
+
+void upstream_stand_in::reject(std::uint64_t request, const std::string& id, int status)
+{
+    m_server->answer(request, opaque_response { status, { { "X-Request-Id", id }, { "X-Not-Executed", "1" } }, {} });
+}
+
+void upstream_stand_in::work(std::uint64_t number)
+{
+    const auto position = m_jobs.find(number);
+    if (position == m_jobs.end())
+        return;
+    job& running = position->second;
+    if (running.entry->innerPath.empty()) {
+        finish(number, internal::okStatus);
+        return;
+    }
+    const auto inner = std::find_if(m_entries.begin(), m_entries.end(),
+        [&running](const soak_entry& candidate) { return candidate.path == running.entry->innerPath; });
+    opaque_request call;
+    call.method = inner->isIdempotent ? "GET" : "POST";
+    call.target = inner->path + "x";
+    const std::string id = running.id + ".1." + std::to_string(number);
+    call.headers = { { "Host", m_place.hostName }, { "X-Request-Id", id },
+        { "X-Deadline-Ms", std::to_string(std::max<std::int64_t>(1, (running.deadline - m_clock.now()).whole())) } };
+    m_ledger.sent(id, m_place.node, *inner);
+    running.callId = id;
+    running.exchange = m_calls.start(
+        m_place.outbound, call, [](const opaque_response&) { return true; },
+        [this, number, id](const exchange_outcome& outcome) {
+            m_ledger.ended(id, outcome);
+            const auto parent = m_jobs.find(number);
+            if (parent != m_jobs.end())
+                parent->second.exchange = 0;
+            const opaque_response* response = std::get_if<opaque_response>(&outcome);
+            const bool isDone = response != nullptr && response->status == internal::okStatus;
+            finish(number, isDone ? internal::okStatus : internal::callFailedStatus);
+        });
+}
+
+void upstream_stand_in::finish(std::uint64_t number, int status)
+{
+    const auto position = m_jobs.find(number);
+    if (position == m_jobs.end())
+        return;
+    const job ended = std::move(position->second);
+    m_jobs.erase(position);
+    constexpr std::uint64_t lostEvery = 3;
+    const bool isLost = m_losesAnswers && ++m_answers % lostEvery == 0;
+    // An answer that is chunked and has a length cannot be framed, so it must reach nobody.
+    opaque_response response { status, { { "X-Request-Id", ended.id }, { "X-Response-Signature", m_id } },
+        request_ledger::bodyFor(ended.id, m_id) };
+    if (isLost)
+        response.headers.emplace_back("Transfer-Encoding", "chunked");
+    m_server->answer(ended.request, response, isLost);
+}
+
+void upstream_stand_in::abandonCall(const job& ended)
+{
+    if (ended.exchange == 0)
+        return;
+    m_calls.cancel(ended.exchange);
+    m_ledger.left(ended.callId);
+}
+
+} // namespace knapweedcroft::platform
