--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -48,11 +48,11 @@
     /**
      * @brief Takes a request of a node.
      * @param peer The node; may be this one.
-     * @param message The request.
+     * @param received The request.
      * @param now Present time.
      * @param actions Receives what is to be done.
      */
-    void receive(const node_name& peer, forward_request message, time_point now, gateway_actions& actions);
+    void receive(const node_name& peer, forward_request received, time_point now, gateway_actions& actions);
 
     /**
      * @brief Gives up a request that its sender no longer wants.
