Share the reading of the store, plan links, and ask one peer at a time

Each node polled the store for itself and each write ended the polls of all; each pair of nodes held a link; a node that started or was behind asked each of its peers for a copy of the whole directory.

Change. store_read_election lets one node read for the linked nodes of a data centre of eight or more; it hands on what it reads, and others take over in time for the deadline of changes. link_plan keeps all links of the own data centre and a few of each service elsewhere. catch_up_requester asks one peer at a time. The era of the store is read from each answer: a later one starts each topic anew, and a node whose own record was lost writes it again. A status received on a link goes before a record that is not newer.

--- a/src/knapweedcroft/gateway/actions.hpp
+++ b/src/knapweedcroft/gateway/actions.hpp
@@ -3,6 +3,7 @@
 
 #include "knapweedcroft/gateway/entry_table.hpp"
 #include "knapweedcroft/gateway/node_directory.hpp"
+#include "knapweedcroft/gateway/store_read_election.hpp"
 #include "knapweedcroft/http/message.hpp"
 #include "knapweedcroft/node/actions.hpp"
 
@@ -51,6 +52,16 @@
 /** @brief Removes the record of this node from the directory. */
 struct withdraw_record { };
 
+/** @brief Sets how this node reads the store. */
+struct set_store_read_mode {
+    store_read_mode mode = store_read_mode::individual;
+};
+
+/** @brief Reads the catalogue and the directory from the store anew; a peer has seen a newer era of the store. */
+struct reread_store {
+    std::uint64_t era = 0; /*!< The newer era. */
+};
+
 /** @brief Applies limits on client connections and requests. */
 struct apply_limits {
     client_limits limits;
@@ -58,7 +69,7 @@
 
 /** @brief Output of a gateway, performed by the runtime. */
 using gateway_action = std::variant<answer_client, start_exchange, cancel_exchange, publish_record, withdraw_record,
-    apply_limits, send_to_peer, open_link, close_link, write_log>;
+    set_store_read_mode, reread_store, apply_limits, send_to_peer, open_link, close_link, write_log>;
 
 /** @brief Actions in the order in which they must be performed. */
 using gateway_actions = std::vector<gateway_action>;
--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -65,6 +65,15 @@
     std::vector<directory_record> records;
     std::vector<node_name> withdrawn;
     bool isComplete = false; /*!< The whole directory has been read at least once. */
+    std::int64_t offset = -1; /*!< Offset up to which the directory is known now; -1 before a snapshot is complete. */
+};
+
+/** @brief The store answered a read of the catalogue: all changes acknowledged before have been read. */
+struct catalogue_confirmed { };
+
+/** @brief The store came back from an older copy: what was written since is gone, and offsets are given out again. */
+struct store_era_changed {
+    std::uint64_t era = 0; /*!< Increases with each copy. */
 };
 
 /** @brief The platform's store became available or unavailable. */
@@ -90,8 +99,8 @@
 
 /** @brief Input of a gateway. */
 using gateway_event = std::variant<client_request, client_disconnected, exchange_ended, announcement_received,
-    leave_received, catalogue_read, directory_read, store_availability_changed, retry_settings_changed, stop_requested,
-    link_suspected, link_opened, link_closed, message_received, timer_fired>;
+    leave_received, catalogue_read, directory_read, catalogue_confirmed, store_era_changed, store_availability_changed,
+    retry_settings_changed, stop_requested, link_suspected, link_opened, link_closed, message_received, timer_fired>;
 
 } // namespace knapweedcroft
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -11,7 +11,11 @@
 // waits this long and connects only if no link has been opened by then, which avoids duplicate connections.
 static constexpr milliseconds passiveConnectDelay { 250 };
 static constexpr milliseconds reconnectDelay { 50 };
-static constexpr milliseconds catchUpRequestInterval { 500 };
+// A node that cannot be linked within this time is replaced by another one.
+static constexpr milliseconds maxConnectTime { 1500 };
+static constexpr milliseconds linkPlanInterval { 1000 };
+// The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
+static constexpr std::uint64_t maxEraJump = 1000;
 
 [[nodiscard]] static write_log makeLogLine(
     log_level level, std::string event, std::vector<std::pair<std::string, std::string>> fields)
@@ -34,6 +38,8 @@
     , m_table { std::make_shared<const entry_table>() }
     , m_served { settings, m_registry }
     , m_origin { settings, m_directory, m_served }
+    , m_catchUp { settings.seed }
+    , m_readElection { settings.node, settings.storeReads }
 {
     m_directory.onLinkOpened(makeHello());
 }
@@ -45,6 +51,8 @@
     gateway_actions actions;
     std::visit([this, &actions](auto& typed) { on(typed, actions); }, event);
     deliverLocally(actions);
+    updateLinkPlan(actions);
+    updateStoreReadMode(actions);
     return actions;
 }
 
@@ -177,7 +185,56 @@
 
 void gateway_core::on(const catalogue_read& event, gateway_actions& actions)
 {
+    const bool isNewer = m_table->version() < event.table->version();
     applyTable(event.table, "store", actions);
+    if (!isNewer)
+        return;
+    if (m_readMode != store_read_mode::reader) {
+        // A peer whose own read was lost asks for the catalogue.
+        sendProgress(actions);
+        return;
+    }
+    catch_up_message news;
+    news.catalogue = m_table->format();
+    handOn(news, actions);
+}
+
+void gateway_core::sendProgress(gateway_actions& actions) const
+{
+    const store_progress_message progress { m_storeEra, m_table->version(), m_directoryOffset };
+    for (const node_name& peer : m_readElection.peers())
+        actions.emplace_back(send_to_peer { peer, progress });
+}
+
+// Hands on news of the store to the nodes of the local data centre, which do not read it themselves.
+void gateway_core::handOn(const catch_up_message& news, gateway_actions& actions) const
+{
+    catch_up_message message = news;
+    message.storeEra = m_storeEra;
+    for (const node_name& peer : m_readElection.peers())
+        actions.emplace_back(send_to_peer { peer, message });
+}
+
+void gateway_core::on(const catalogue_confirmed&, gateway_actions& actions)
+{
+    m_readElection.recordOwnRead(true, m_now);
+    if (m_readMode == store_read_mode::reader)
+        sendProgress(actions);
+}
+
+void gateway_core::on(const store_era_changed& event, gateway_actions& actions)
+{
+    if (event.era <= m_storeEra)
+        return;
+    // The first era that is seen is no change.
+    if (m_storeEra != 0) {
+        ++m_storeEraChanges;
+        m_isOwnRecordInStore = false;
+    }
+    m_directoryOffset = -1;
+    m_storeEra = event.era;
+    actions.emplace_back(internal::makeLogLine(log_level::warning, "store_era_changed",
+        { { "era", std::to_string(event.era) }, { "catalogue", std::to_string(m_table->version()) } }));
 }
 
 void gateway_core::applyTable(
@@ -197,14 +254,53 @@
 {
     for (const directory_record& record : event.records)
         applyRecord(record, actions);
-    for (const node_name& node : event.withdrawn) {
+    removeWithdrawn(event.withdrawn, actions);
+    m_isDirectoryRead = m_isDirectoryRead || event.isComplete;
+    m_isLinkPlanOutdated = true;
+    checkOwnRecord(event, actions);
+    const std::int64_t offsetBefore = std::exchange(m_directoryOffset, std::max(m_directoryOffset, event.offset));
+    const bool isIncrement = !event.isComplete && offsetBefore >= 0 && offsetBefore < event.offset;
+    if (!isIncrement || m_readMode != store_read_mode::reader)
+        return;
+    catch_up_message news;
+    news.membership = node_directory::formatRecords(event.records);
+    news.withdrawn = event.withdrawn;
+    news.membershipFrom = offsetBefore;
+    news.membershipOffset = event.offset;
+    handOn(news, actions);
+}
+
+void gateway_core::removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions)
+{
+    for (const node_name& node : withdrawn) {
         m_directory.withdraw(node);
-        if (m_directory.find(node) == nullptr) {
-            m_connectTimes.erase(node);
-            actions.emplace_back(close_link { node });
-        }
+        if (m_directory.find(node) != nullptr)
+            continue;
+        m_connectTimes.erase(node);
+        m_connectingSince.erase(node);
+        actions.emplace_back(close_link { node });
     }
-    m_isDirectoryRead = m_isDirectoryRead || event.isComplete;
+}
+
+// After the store came back from an older copy, the record of this node may be missing or outdated there.
+void gateway_core::checkOwnRecord(const directory_read& event, gateway_actions& actions)
+{
+    if (m_isOwnRecordInStore || !m_isRecordPublished || !m_registry.current())
+        return;
+    const directory_record own = makeRecord();
+    const bool isFound
+        = std::any_of(event.records.begin(), event.records.end(), [&own](const directory_record& record) {
+              return record.node == own.node && record.peerAddress == own.peerAddress
+                  && record.upstream.incarnation == own.upstream.incarnation
+                  && record.upstream.state == own.upstream.state;
+          });
+    m_isOwnRecordInStore = isFound;
+    if (isFound || !event.isComplete)
+        return;
+    m_isOwnRecordInStore = true;
+    actions.emplace_back(publish_record { own });
+    actions.emplace_back(internal::makeLogLine(log_level::info, "own_record_lost",
+        { { "era", std::to_string(m_storeEra) }, { "upstream", own.upstream.incarnation.id } }));
 }
 
 void gateway_core::applyRecord(const directory_record& record, gateway_actions& actions)
@@ -241,11 +337,12 @@
 
 void gateway_core::on(const store_availability_changed& event, gateway_actions& actions)
 {
+    if (!event.isAvailable)
+        m_readElection.recordOwnRead(false, m_now);
+    if (m_isStoreAvailable == event.isAvailable)
+        return;
     m_isStoreAvailable = event.isAvailable;
-    if (event.isAvailable)
-        m_nextCatchUpRequest.reset();
-    else
-        m_nextCatchUpRequest = m_now;
+    m_catchUp.setStoreAvailable(event.isAvailable, m_now);
     actions.emplace_back(internal::makeLogLine(log_level::warning, event.isAvailable ? "store_regained" : "store_lost",
         { { "catalogue", std::to_string(m_table->version()) } }));
 }
@@ -262,6 +359,7 @@
     m_isStopping = true;
     m_served.startDraining();
     m_origin.startDraining(m_now, m_now + event.grace);
+    updateReadGroup();
     const upstream_status_message status = makeStatus();
     broadcastStatus(status, actions);
     // Keep the record while the upstream is serving, so that the next process of this node can use it at once.
@@ -277,15 +375,54 @@
 void gateway_core::scheduleConnect(const node_name& node, milliseconds delay)
 {
     const known_node* known = m_directory.find(node);
-    if (known == nullptr || known->isLinked || known->record.peerAddress.empty())
+    if (known == nullptr || known->isLinked || known->record.peerAddress.empty() || m_plannedLinks.count(node) == 0)
         return;
     m_connectTimes[node] = m_now + delay;
 }
 
+bool gateway_core::isUnreachable(const node_name& node) const
+{
+    const auto position = m_connectingSince.find(node);
+    return position != m_connectingSince.end() && m_now - position->second > internal::maxConnectTime;
+}
+
+void gateway_core::updateLinkPlan(gateway_actions& actions)
+{
+    if (!m_isLinkPlanOutdated && (m_connectingSince.empty() || m_now - m_linksPlannedAt < internal::linkPlanInterval))
+        return;
+    m_isLinkPlanOutdated = false;
+    m_linksPlannedAt = m_now;
+    std::vector<link_target> targets;
+    targets.reserve(m_directory.nodes().size());
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        const known_node& known = item.second;
+        if (item.first != m_settings.node)
+            targets.push_back({ item.first, known.record.data_centre, known.record.upstream.service, known.isServing,
+                isUnreachable(item.first) });
+    }
+    m_plannedLinks = planLinks(m_settings.node, m_settings.data_centre, targets, m_settings.links);
+    for (const node_name& node : m_plannedLinks) {
+        if (m_connectTimes.count(node) == 0 && m_connectingSince.count(node) == 0)
+            scheduleConnect(node, m_settings.node < node ? milliseconds {} : internal::passiveConnectDelay);
+    }
+    for (auto position = m_connectingSince.begin(); position != m_connectingSince.end();) {
+        // A link that closes may be reported as open again at once, so it is given up only after a while.
+        const bool isGivenUp
+            = m_plannedLinks.count(position->first) == 0 && m_now - position->second >= internal::linkPlanInterval;
+        if (!isGivenUp) {
+            ++position;
+            continue;
+        }
+        actions.emplace_back(close_link { position->first });
+        position = m_connectingSince.erase(position);
+    }
+}
+
 void gateway_core::removeReplacedNodes(const node_name& node, gateway_actions& actions)
 {
     for (const node_name& replaced : m_directory.removeReplacedNodes(node)) {
         m_connectTimes.erase(replaced);
+        m_connectingSince.erase(replaced);
         actions.emplace_back(close_link { replaced });
         actions.emplace_back(internal::makeLogLine(log_level::info, "directory_change",
             { { "node", replaced }, { "reason", "address now used by " + node } }));
@@ -300,8 +437,10 @@
             continue;
         }
         const known_node* known = m_directory.find(position->first);
-        if (known != nullptr && !known->isLinked)
+        if (known != nullptr && !known->isLinked && m_plannedLinks.count(position->first) != 0) {
+            m_connectingSince.emplace(position->first, m_now);
             actions.emplace_back(open_link { position->first, known->record.peerAddress });
+        }
         position = m_connectTimes.erase(position);
     }
 }
@@ -312,11 +451,40 @@
     m_directory.onLinkOpened(hello);
     removeReplacedNodes(hello.node, actions);
     updateLocalServices();
+    updateReadGroup();
+    m_isLinkPlanOutdated = true;
     m_connectTimes.erase(hello.node);
+    m_connectingSince.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, makeStatus() });
-    const bool isBehind = m_table->version() < hello.catalogueOffset;
-    if (isBehind || !m_isDirectoryRead)
-        actions.emplace_back(send_to_peer { hello.node, catch_up_request_message { m_table->version(), -1 } });
+    if (m_table->version() < hello.catalogueOffset || !m_isDirectoryRead)
+        m_catchUp.recordPeerVersions(hello.node, { hello.catalogueOffset, -1 }, m_now);
+}
+
+// Peers of the local data centre whose links work share the reading of the store. A node that stops leaves the group.
+void gateway_core::updateReadGroup()
+{
+    std::set<node_name> peers;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        const known_node& known = item.second;
+        const bool isMember = known.isLinked && !known.isSuspected && item.first != m_settings.node
+            && known.record.data_centre == m_settings.data_centre;
+        if (isMember && !m_isStopping)
+            peers.insert(item.first);
+    }
+    m_readElection.setPeers(std::move(peers), m_now);
+}
+
+void gateway_core::updateStoreReadMode(gateway_actions& actions)
+{
+    const store_read_mode mode = m_readElection.mode(m_now);
+    if (mode == m_readMode)
+        return;
+    m_readMode = mode;
+    actions.emplace_back(set_store_read_mode { mode });
+    actions.emplace_back(internal::makeLogLine(log_level::info, "store_read_mode_changed",
+        { { "mode", std::string { toString(mode) } },
+            { "group_size", std::to_string(m_readElection.peers().size() + 1) },
+            { "store_available", m_isStoreAvailable.value_or(false) ? "true" : "false" } }));
 }
 
 // Tells the served requests which services have linked nodes in the local data centre.
@@ -333,12 +501,17 @@
 void gateway_core::on(const link_suspected& event, gateway_actions&)
 {
     m_directory.setSuspected(event.peer, event.isSuspected);
+    updateReadGroup();
 }
 
 void gateway_core::on(const link_closed& event, gateway_actions& actions)
 {
     m_directory.onLinkClosed(event.peer);
+    m_catchUp.removePeer(event.peer);
+    m_connectingSince.emplace(event.peer, m_now);
+    m_isLinkPlanOutdated = true;
     updateLocalServices();
+    updateReadGroup();
     m_origin.handleLinkLost(event, m_now, actions);
     m_served.handlePeerLost(event.peer, m_now, actions);
     scheduleConnect(event.peer, internal::reconnectDelay);
@@ -356,9 +529,46 @@
         actions.emplace_back(internal::makeLogLine(log_level::info, "peer_upstream_changed",
             { { "node", peer }, { "upstream", message.upstream },
                 { "serving", message.isServing ? "true" : "false" } }));
+        m_isLinkPlanOutdated = true;
     }
     if (m_table->version() < message.catalogueVersion)
-        actions.emplace_back(send_to_peer { peer, catch_up_request_message { m_table->version(), -1 } });
+        m_catchUp.recordPeerVersions(peer, { message.catalogueVersion, -1 }, m_now);
+}
+
+known_versions gateway_core::knownVersions() const
+{
+    return { m_table->version(), m_isDirectoryRead ? std::max<std::int64_t>(0, m_directoryOffset) : -1 };
+}
+
+// Returns whether a peer has seen the same era of the store as this node. If the peer has seen a later one, this node
+// reads the store anew.
+bool gateway_core::isCurrentEra(const node_name& peer, std::uint64_t era, gateway_actions& actions)
+{
+    if (m_storeEra != 0 && m_storeEra + internal::maxEraJump < era) {
+        actions.emplace_back(internal::makeLogLine(log_level::error, "store_era_refused",
+            { { "peer", peer }, { "era", std::to_string(era) }, { "known_era", std::to_string(m_storeEra) },
+                { "remedy", "check the peer; only the store raises the era" } }));
+        return false;
+    }
+    if (m_storeEra < era) {
+        actions.emplace_back(internal::makeLogLine(
+            log_level::info, "store_era_heard", { { "peer", peer }, { "era", std::to_string(era) } }));
+        const bool isFirstEra = m_storeEra == 0;
+        on(store_era_changed { era }, actions);
+        if (!isFirstEra)
+            actions.emplace_back(reread_store { era });
+    }
+    return era == m_storeEra;
+}
+
+void gateway_core::receive(const node_name& peer, const store_progress_message& message, gateway_actions& actions)
+{
+    if (!isCurrentEra(peer, message.storeEra, actions))
+        return;
+    m_readElection.recordPeerProgress(peer, m_now);
+    const bool isBehind = m_table->version() < message.catalogueVersion || m_directoryOffset < message.membershipOffset;
+    if (isBehind)
+        m_catchUp.recordPeerVersions(peer, { message.catalogueVersion, message.membershipOffset }, m_now);
 }
 
 void gateway_core::receive(const node_name& peer, const catch_up_request_message& message, gateway_actions& actions)
@@ -366,12 +576,17 @@
     catch_up_message answer;
     if (message.catalogueOffset < m_table->version())
         answer.catalogue = m_table->format();
-    answer.membership = m_directory.format();
+    if (message.membershipOffset < 0 || message.membershipOffset < m_directoryOffset)
+        answer.membership = m_directory.format();
+    answer.storeEra = m_storeEra;
+    answer.membershipOffset = m_directoryOffset;
     actions.emplace_back(send_to_peer { peer, std::move(answer) });
 }
 
 void gateway_core::receive(const node_name& peer, const catch_up_message& message, gateway_actions& actions)
 {
+    m_catchUp.recordAnswer(peer);
+    const bool isEraCurrent = isCurrentEra(peer, message.storeEra, actions);
     if (!message.catalogue.empty()) {
         result<entry_table> table = entry_table::parse(message.catalogue);
         if (hasValue(table))
@@ -380,6 +595,8 @@
             actions.emplace_back(internal::makeLogLine(
                 log_level::warning, "snapshot_refused", { { "peer", peer }, { "reason", errorOf(table).message } }));
     }
+    if (message.membership.empty())
+        return;
     const result<std::vector<directory_record>> records = node_directory::parseRecords(message.membership);
     if (!hasValue(records)) {
         actions.emplace_back(internal::makeLogLine(
@@ -388,27 +605,29 @@
     }
     for (const directory_record& record : valueOf(records))
         applyRecord(record, actions);
-    m_isDirectoryRead = true;
+    removeWithdrawn(message.withdrawn, actions);
+    m_isLinkPlanOutdated = true;
+    const bool isWhole = message.membershipFrom < 0;
+    m_isDirectoryRead = m_isDirectoryRead || isWhole;
+    const bool isContiguous = isWhole || message.membershipFrom <= m_directoryOffset;
+    if (isEraCurrent && isContiguous)
+        m_directoryOffset = std::max(m_directoryOffset, message.membershipOffset);
 }
 
-// While the store is unavailable, requests the catalogue and the directory from a linked peer, preferably one in the
-// local data centre.
 void gateway_core::requestCatchUp(gateway_actions& actions)
 {
-    if (!m_nextCatchUpRequest || m_now < *m_nextCatchUpRequest)
+    const std::optional<time_point> due = m_catchUp.nextWakeup();
+    if (!due || m_now < *due)
         return;
-    m_nextCatchUpRequest = m_now + internal::catchUpRequestInterval;
-    const known_node* chosen = nullptr;
+    std::vector<catch_up_candidate> candidates;
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
         const known_node& known = item.second;
-        if (!known.isLinked || item.first == m_settings.node)
-            continue;
-        const bool isLocal = known.record.data_centre == m_settings.data_centre;
-        if (chosen == nullptr || (isLocal && chosen->record.data_centre != m_settings.data_centre))
-            chosen = &known;
+        if (known.isLinked && !known.isSuspected && item.first != m_settings.node)
+            candidates.push_back({ item.first, known.record.data_centre == m_settings.data_centre });
     }
-    if (chosen != nullptr)
-        actions.emplace_back(send_to_peer { chosen->record.node, catch_up_request_message { m_table->version(), -1 } });
+    const known_versions known = knownVersions();
+    if (const std::optional<node_name> peer = m_catchUp.next(known, candidates, m_now))
+        actions.emplace_back(send_to_peer { *peer, catch_up_request_message { known.catalogue, known.directory } });
 }
 
 // --- timers and state
@@ -446,8 +665,11 @@
         next = std::min(next, *served);
     for (const std::pair<const node_name, time_point>& item : m_connectTimes)
         next = std::min(next, item.second);
-    if (m_nextCatchUpRequest)
-        next = std::min(next, *m_nextCatchUpRequest);
+    if (const std::optional<time_point> catchUp = m_catchUp.nextWakeup())
+        next = std::min(next, *catchUp);
+    const std::optional<time_point> takeover = m_readElection.takeoverTime();
+    if (takeover && m_now < *takeover)
+        next = std::min(next, *takeover);
     return next;
 }
 
@@ -474,7 +696,9 @@
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes())
         linked += item.second.isLinked ? 1U : 0U;
     return { { "node", m_settings.node }, { "catalogue_version", m_table->version() }, { "ready", isReady() },
-        { "store_available", m_isStoreAvailable }, { "linked_nodes", linked },
+        { "store_available", m_isStoreAvailable.value_or(false) }, { "store_era", m_storeEra },
+        { "store_era_changes", m_storeEraChanges }, { "store_read_mode", toString(m_readMode) },
+        { "linked_nodes", linked }, { "planned_links", m_plannedLinks.size() },
         { "known_nodes", m_directory.nodes().size() },
         { "upstream",
             { { "id", m_registry.current() ? m_registry.current()->incarnation.id : std::string {} },
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -3,11 +3,13 @@
 
 #include "knapweedcroft/chart/chart_set.hpp"
 #include "knapweedcroft/gateway/actions.hpp"
+#include "knapweedcroft/gateway/catch_up_requester.hpp"
 #include "knapweedcroft/gateway/events.hpp"
 #include "knapweedcroft/gateway/node_directory.hpp"
 #include "knapweedcroft/gateway/origin_requests.hpp"
 #include "knapweedcroft/gateway/served_requests.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
+#include "knapweedcroft/gateway/store_read_election.hpp"
 #include "knapweedcroft/gateway/upstream_registry.hpp"
 
 #include <nlohmann/json.hpp>
@@ -15,7 +17,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace knapweedcroft {
 
@@ -71,6 +75,8 @@
     void on(const leave_received& event, gateway_actions& actions);
     void on(const catalogue_read& event, gateway_actions& actions);
     void on(const directory_read& event, gateway_actions& actions);
+    void on(const catalogue_confirmed& event, gateway_actions& actions);
+    void on(const store_era_changed& event, gateway_actions& actions);
     void on(const store_availability_changed& event, gateway_actions& actions);
     void on(const retry_settings_changed& event, gateway_actions& actions);
     void on(const stop_requested& event, gateway_actions& actions);
@@ -86,6 +92,7 @@
     void receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const catch_up_request_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const catch_up_message& message, gateway_actions& actions);
+    void receive(const node_name& peer, const store_progress_message& message, gateway_actions& actions);
     template <typename Message> void receive(const node_name&, const Message&, gateway_actions&) { }
 
     void applyTable(const std::shared_ptr<const entry_table>& table, std::string_view source, gateway_actions& actions);
@@ -94,6 +101,16 @@
     void publishUpstreamChange(std::string_view logEvent, gateway_actions& actions);
     void scheduleConnect(const node_name& node, milliseconds delay);
     void openDueLinks(gateway_actions& actions);
+    void updateLinkPlan(gateway_actions& actions);
+    [[nodiscard]] bool isUnreachable(const node_name& node) const;
+    void updateReadGroup();
+    void updateStoreReadMode(gateway_actions& actions);
+    void sendProgress(gateway_actions& actions) const;
+    void handOn(const catch_up_message& news, gateway_actions& actions) const;
+    void removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions);
+    void checkOwnRecord(const directory_read& event, gateway_actions& actions);
+    [[nodiscard]] known_versions knownVersions() const;
+    [[nodiscard]] bool isCurrentEra(const node_name& peer, std::uint64_t era, gateway_actions& actions);
     void removeReplacedNodes(const node_name& node, gateway_actions& actions);
     void updateLocalServices();
     void logLoad(gateway_actions& actions);
@@ -114,10 +131,20 @@
     served_requests m_served;
     origin_requests m_origin;
     std::map<node_name, time_point> m_connectTimes; /*!< When to connect to each unlinked node. */
-    std::optional<time_point> m_nextCatchUpRequest; /*!< Set while the store is reported as unavailable. */
+    std::map<node_name, time_point> m_connectingSince; /*!< Nodes to which this node opens links that are not open. */
+    std::set<node_name> m_plannedLinks;
+    bool m_isLinkPlanOutdated = false;
+    time_point m_linksPlannedAt;
+    catch_up_requester m_catchUp;
+    store_read_election m_readElection;
+    store_read_mode m_readMode = store_read_mode::individual;
+    std::uint64_t m_storeEra = 0; /*!< Latest era of the store that this node or a peer has seen. */
+    std::uint64_t m_storeEraChanges = 0;
+    std::int64_t m_directoryOffset = -1; /*!< Offset up to which the directory is known; -1 if unknown. */
+    bool m_isOwnRecordInStore = true; /*!< False after a change of era until the record is read back. */
     time_point m_polledAt;
     time_point m_loadLoggedAt;
-    bool m_isStoreAvailable = false;
+    std::optional<bool> m_isStoreAvailable; /*!< Empty before the first answer or failure. */
     bool m_isDirectoryRead = false;
     bool m_isStopping = false;
     bool m_isRecordPublished = false; /*!< A record of this node was published or restored. */
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -35,6 +35,10 @@
     std::function<void(const directory_record&)> publish;
     /** @brief Removes the record of this node from the directory. */
     std::function<void()> withdraw;
+    /** @brief Sets how this node reads the store. */
+    std::function<void(store_read_mode)> setStoreReadMode;
+    /** @brief Reads catalogue and directory anew, because the store came back from an older copy with a new era. */
+    std::function<void(std::uint64_t)> rereadStore;
 };
 
 /** @brief Runs a gateway on sockets and timers: feeds events to its core and performs the resulting actions. */
@@ -89,6 +93,8 @@
     void perform(cancel_exchange& action);
     void perform(publish_record& action);
     void perform(withdraw_record& action);
+    void perform(set_store_read_mode& action);
+    void perform(reread_store& action);
     void perform(apply_limits& action);
     void perform(send_to_peer& action);
     void perform(open_link& action);
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace knapweedcroft {
 
@@ -74,15 +75,16 @@
         || (after.startedAt == before.startedAt && record.writtenAt < known.record.writtenAt);
     if (isOlder)
         return false;
+    // A status received on the link is more recent than a record in the store, which may even be from an older copy.
+    if (known.isLinked && known.status && after.startedAt <= before.startedAt) {
+        known.record.writtenAt = record.writtenAt;
+        return std::exchange(known.record.peerAddress, record.peerAddress) != record.peerAddress;
+    }
     const bool isServing = record.upstream.state == upstream_state::serving;
     const bool isChanged
         = before != after || known.record.peerAddress != record.peerAddress || known.isServing != isServing;
     known.record = record;
-    const bool isStatusCurrent = known.isLinked && known.status && known.status->upstream == after.id
-        && known.status->startedAt == after.startedAt;
-    // A status received on the link is more recent than the record in the store.
-    if (!isStatusCurrent)
-        known.isServing = isServing;
+    known.isServing = isServing;
     return isChanged;
 }
 
@@ -191,12 +193,20 @@
 
 std::string node_directory::format() const
 {
-    nlohmann::json records = nlohmann::json::array();
+    std::vector<directory_record> records;
     for (const std::pair<const node_name, known_node>& item : m_nodes) {
         if (!item.second.record.peerAddress.empty())
-            records.push_back(internal::toJson(item.second.record));
+            records.push_back(item.second.record);
     }
-    return records.dump();
+    return formatRecords(records);
+}
+
+std::string node_directory::formatRecords(const std::vector<directory_record>& records)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const directory_record& record : records)
+        list.push_back(internal::toJson(record));
+    return list.dump();
 }
 
 result<std::vector<directory_record>> node_directory::parseRecords(std::string_view text)
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -98,9 +98,12 @@
     /** @brief Returns all nodes, keyed by name. */
     [[nodiscard]] const std::map<node_name, known_node>& nodes() const noexcept { return m_nodes; }
 
-    /** @brief Returns the JSON text of all records, for peers that cannot read the store. */
+    /** @brief Returns the JSON text of all records, for peers that do not read the store. */
     [[nodiscard]] std::string format() const;
 
+    /** @brief Returns the JSON text of some records, in the format of `format`. */
+    [[nodiscard]] static std::string formatRecords(const std::vector<directory_record>& records);
+
     /** @brief Parses the records that a peer wrote with `format`; returns the first error if one is malformed. */
     [[nodiscard]] static result<std::vector<directory_record>> parseRecords(std::string_view text);
 
--- a/src/knapweedcroft/gateway/settings.hpp
+++ b/src/knapweedcroft/gateway/settings.hpp
@@ -3,7 +3,9 @@
 
 #include "knapweedcroft/core/fwd.hpp"
 #include "knapweedcroft/core/time.hpp"
+#include "knapweedcroft/gateway/link_plan.hpp"
 #include "knapweedcroft/gateway/local_retry_budget.hpp"
+#include "knapweedcroft/gateway/store_read_election.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,6 +25,8 @@
     std::uint64_t seed = 1;
     milliseconds upstreamSilence { 5000 }; /*!< Silence time-out; about three missed announcements. */
     local_retry_budget_settings retries;
+    store_read_settings storeReads;
+    link_plan_settings links;
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/node/node_core.cpp
+++ b/src/knapweedcroft/node/node_core.cpp
@@ -395,6 +395,8 @@
 
 void node_core::receive(const node_name&, const upstream_status_message&, node_actions&) { }
 
+void node_core::receive(const node_name&, const store_progress_message&, node_actions&) { }
+
 std::optional<time_point> node_core::nextWakeup() const
 {
     std::optional<time_point> next = m_origin.nextWakeup();
--- a/src/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.cpp
@@ -58,6 +58,14 @@
         const milliseconds interval = readDurationText(reader, "announcement_interval", milliseconds { 1500 });
         settings.gateway.upstreamSilence = interval * missedAnnouncements + announcementMargin;
     });
+    readSection(document, "links", [&settings](json_reader& reader) {
+        constexpr std::int64_t maxLinks = 10'000;
+        link_plan_settings& links = settings.gateway.links;
+        links.minNodesPerService = static_cast<std::size_t>(
+            reader.integer("nodes_per_service", 1, maxLinks, static_cast<std::int64_t>(links.minNodesPerService)));
+        links.minRemoteNodesPerService = static_cast<std::size_t>(reader.integer(
+            "remote_nodes_per_service", 0, maxLinks, static_cast<std::int64_t>(links.minRemoteNodesPerService)));
+    });
     readSection(document, "retries", [&settings](json_reader& reader) {
         constexpr double maxSlack = 1e9;
         local_retry_budget_settings& retries = settings.gateway.retries;
@@ -91,6 +99,11 @@
     internal::readListen(reader, settings);
     internal::readSection(reader, "store", [&settings](json_reader& section) {
         settings.store = formatHostPort(internal::readAddress(section, "address"));
+        constexpr std::int64_t maxGroupSize = 10'000;
+        store_read_settings& reads = settings.gateway.storeReads;
+        reads.minGroupSize = static_cast<std::size_t>(
+            section.integer("shared_reading_from", 0, maxGroupSize, static_cast<std::int64_t>(reads.minGroupSize)));
+        reads.changeDeadline = internal::readDurationText(section, "change_deadline", reads.changeDeadline);
     });
     settings.grace = internal::readDurationText(reader, "grace", settings.grace);
     settings.chartsDirectory = reader.string("charts", settings.chartsDirectory);
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -208,7 +208,18 @@
 
     wire_json operator()(const catch_up_message& value) const
     {
-        return { { "k", "catch_up" }, { "catalogue", value.catalogue }, { "membership", value.membership } };
+        wire_json header = { { "k", "catch_up" }, { "catalogue", value.catalogue }, { "membership", value.membership },
+            { "era", value.storeEra }, { "membership_from", value.membershipFrom },
+            { "membership_offset", value.membershipOffset } };
+        if (!value.withdrawn.empty())
+            header["withdrawn"] = value.withdrawn;
+        return header;
+    }
+
+    wire_json operator()(const store_progress_message& value) const
+    {
+        return { { "k", "store_progress" }, { "era", value.storeEra }, { "catalogue", value.catalogueVersion },
+            { "membership_offset", value.membershipOffset } };
     }
 };
 
@@ -586,6 +597,19 @@
     catch_up_message message;
     message.catalogue = reader.text("catalogue", maxFrameBytes);
     message.membership = reader.text("membership", maxFrameBytes);
+    message.storeEra = reader.unsignedInteger("era");
+    message.membershipFrom = readOffset(reader, "membership_from");
+    message.membershipOffset = readOffset(reader, "membership_offset");
+    message.withdrawn = readNames(reader, "withdrawn");
+    return message;
+}
+
+[[nodiscard]] static peer_message readStoreProgress(field_reader& reader, std::string&&)
+{
+    store_progress_message message;
+    message.storeEra = reader.unsignedInteger("era");
+    message.catalogueVersion = readOffset(reader, "catalogue");
+    message.membershipOffset = readOffset(reader, "membership_offset");
     return message;
 }
 
@@ -600,8 +624,8 @@
     { "heartbeat", &readHeartbeat, false }, { "hello", &readHello, false }, { "state_change", &readStateChange, false },
     { "hand_over", &readHandOver, false }, { "hand_over_ack", &readHandOverAck, false },
     { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false },
-    { "fwd", &readForward, true }, { "fwd_ans", &readForwardAnswer, true },
-    { "upstream", &readUpstreamStatus, false } };
+    { "store_progress", &readStoreProgress, false }, { "fwd", &readForward, true },
+    { "fwd_ans", &readForwardAnswer, true }, { "upstream", &readUpstreamStatus, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -144,10 +144,22 @@
     std::int64_t membershipOffset = -1;
 };
 
-/** @brief Copy of the sender's state, as JSON snapshots in the format of the log's records. */
+/** @brief Copy of the sender's state, as JSON in the format of the log's records; holds only what the receiver lacks.
+ */
 struct catch_up_message {
-    std::string catalogue;
-    std::string membership;
+    std::string catalogue; /*!< Empty if the receiver has the latest one. */
+    std::string membership; /*!< Empty if it has not changed. */
+    std::vector<node_name> withdrawn {}; /*!< Nodes whose records were removed. */
+    std::uint64_t storeEra = 0; /*!< Era of the store from which the sender read its state. */
+    std::int64_t membershipFrom = -1; /*!< Offset from which `membership` holds all records; -1 if it holds all. */
+    std::int64_t membershipOffset = -1; /*!< Offset up to which the sender knows the membership; -1 if unknown. */
+};
+
+/** @brief Tells the peers of a data centre that the store has answered the sender just now. */
+struct store_progress_message {
+    std::uint64_t storeEra = 0;
+    std::int64_t catalogueVersion = -1; /*!< Latest version in the store. */
+    std::int64_t membershipOffset = -1; /*!< Offset up to which the sender has read the membership. */
 };
 
 /** @brief Requests the node of an upstream to run an opaque request. */
@@ -218,7 +230,7 @@
 /** @brief Message between two nodes. */
 using peer_message = std::variant<hello_message, call_request, call_answer, cancel_message, ping_message, pong_message,
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
-    catch_up_message, forward_request, forward_answer, upstream_status_message>;
+    catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message>;
 
 /**
  * @brief Returns the call that a message requests the receiver to run.
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -64,6 +64,21 @@
     EXPECT_TRUE(directory.find("n")->isServing);
 }
 
+// After the store came back from an older copy, its record may name an upstream that has been replaced since.
+TEST(NodeDirectory, KeepsTheUpstreamOfTheLinkWhenTheStoreReturnsAnOlderRecord)
+{
+    node_directory directory;
+    directory_record old = record("n", 0, 10);
+    directory.apply(old);
+    directory.onLinkOpened(hello("n"));
+    upstream_status_message replaced = status(0, false);
+    replaced.upstream = "replacement";
+    directory.updateStatus("n", replaced, time_point {});
+    EXPECT_FALSE(directory.apply(old));
+    EXPECT_EQ(directory.find("n")->record.upstream.incarnation.id, "replacement");
+    EXPECT_FALSE(directory.find("n")->isServing);
+}
+
 TEST(NodeDirectory, KeepsALinkedNodeThatWithdrewItsRecord)
 {
     node_directory directory;
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -33,6 +33,7 @@
     void appendWithoutNotify(const std::string& topic, const keyed_record& record)
     {
         m_topics[topic].records.push_back(record);
+        m_topics[topic].appendedAt.push_back(m_clock.now());
     }
 
     /** @brief Truncates a topic's history before an offset; the newest record of each key stays in the snapshot. */
@@ -41,6 +42,15 @@
     /** @brief Truncates the whole history of all topics; their snapshots stay readable. */
     void truncateAll();
 
+    /**
+     * @brief Comes back from an older copy: drops the last records of a topic, starts a new era and resets all reads.
+     * @param count Number of records to drop.
+     */
+    void restoreOlderCopy(const std::string& topic, std::size_t count);
+
+    /** @brief Comes back from a copy of some time ago, for all topics but one. */
+    void restoreOlderCopy(milliseconds age, const std::string& keptTopic);
+
     /** @brief Returns the number of records appended to a topic, including truncated ones. */
     [[nodiscard]] std::size_t size(const std::string& topic) { return m_topics[topic].records.size(); }
 
@@ -50,6 +60,9 @@
     std::size_t readCalls = 0;
     std::size_t appendCalls = 0;
     std::optional<int> failureStatus; /*!< HTTP status of all responses while set. */
+    bool ignoresRequests = false; /*!< Requests get no answer while set. */
+    std::optional<std::string> era { "1" }; /*!< Value of the header that names the era; none if empty. */
+    std::int64_t lastReadWaitMs = -1; /*!< Long-poll time of the last read. */
     std::size_t appendsWithoutResponse = 0; /*!< Number of next appends to apply without sending a response. */
     std::vector<std::string> appendedBodies; /*!< Request bodies of the applied appends. */
 
@@ -62,6 +75,7 @@
 
     struct topic_log {
         std::vector<keyed_record> records;
+        std::vector<time_point> appendedAt;
         std::size_t firstOffset = 0; // Oldest retained offset.
         std::vector<pending_read> pendingReads;
     };
@@ -72,8 +86,11 @@
     void respondToRead(std::uint64_t id, const topic_log& log, std::size_t from);
     void onReadTimeout(const std::string& name, std::uint64_t id);
     [[nodiscard]] bool injectFailure(std::uint64_t id);
+    void answer(std::uint64_t id, http_response response);
+    void startEra();
 
     event_loop& m_loop;
+    clock m_clock { system_time_source {} };
     http_server m_server;
     std::string m_address;
     std::map<std::string, topic_log> m_topics;
