Decide the origin of requests with the counts of the other nodes of a service

A node refuses whole requests only once it knows from 60 requests of an entry that clients send them. On 195 hosts a node sees about ten a second, so for the first four to eight seconds after each start nothing was refused and whole call trees were begun and lost; upstreams' calls had no precedence, and the admission ratio of the deep service did not reach the entries.

Nodes of the same service in a data centre tell each other what they count until each can decide, and tell one that starts. Counts of a peer are limited.

--- a/src/knapweedcroft/gateway/entry_origin_classifier.cpp
+++ b/src/knapweedcroft/gateway/entry_origin_classifier.cpp
@@ -1,10 +1,15 @@
 #include "knapweedcroft/gateway/entry_origin_classifier.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace knapweedcroft {
 
 namespace internal {
 
 static constexpr double minRequests = 60.0;
+static constexpr std::size_t maxEntries = 1000;
+static constexpr double maxPeerRequests = 60.0; // Of one caller, in one message.
 static constexpr double maxRequests = 2000.0; // Counts are halved at this limit to follow changes.
 // A service counts as a caller from this fraction of an equal share of the requests. A service with clients on its
 // hosts sends about an equal share, and one without sends only single requests.
@@ -18,8 +23,44 @@
 void entry_origin_classifier::recordRequest(const std::string& entry, const service_name& caller)
 {
     request_counts& counts = m_entries[entry];
-    counts.total += 1.0;
-    counts.byCaller[caller] += 1.0;
+    add(counts, caller, 1.0);
+    if (counts.total <= internal::minRequests)
+        ++counts.newByCaller[caller];
+}
+
+void entry_origin_classifier::recordPeerRequests(const entry_caller_count& counted)
+{
+    if (counted.count == 0 || (m_entries.size() >= internal::maxEntries && m_entries.count(counted.entry) == 0))
+        return;
+    add(m_entries[counted.entry], counted.caller, std::min<double>(counted.count, internal::maxPeerRequests));
+}
+
+std::vector<entry_caller_count> entry_origin_classifier::takeNewCounts()
+{
+    std::vector<entry_caller_count> taken;
+    for (std::pair<const std::string, request_counts>& item : m_entries) {
+        for (const std::pair<const service_name, std::uint32_t>& caller : item.second.newByCaller)
+            taken.push_back({ item.first, caller.first, caller.second });
+        item.second.newByCaller.clear();
+    }
+    return taken;
+}
+
+std::vector<entry_caller_count> entry_origin_classifier::summary() const
+{
+    std::vector<entry_caller_count> all;
+    for (const std::pair<const std::string, request_counts>& item : m_entries) {
+        const double scale = std::min(1.0, internal::minRequests / item.second.total);
+        for (const std::pair<const service_name, double>& caller : item.second.byCaller)
+            all.push_back({ item.first, caller.first, static_cast<std::uint32_t>(std::ceil(caller.second * scale)) });
+    }
+    return all;
+}
+
+void entry_origin_classifier::add(request_counts& counts, const service_name& caller, double requests)
+{
+    counts.total += requests;
+    counts.byCaller[caller] += requests;
     if (counts.total < internal::maxRequests)
         return;
     counts.total /= 2.0;
--- a/src/knapweedcroft/gateway/entry_origin_classifier.hpp
+++ b/src/knapweedcroft/gateway/entry_origin_classifier.hpp
@@ -2,11 +2,14 @@
 #define KNAPWEEDCROFT_GATEWAY_ENTRY_ORIGIN_CLASSIFIER_HPP
 
 #include "knapweedcroft/core/fwd.hpp"
+#include "knapweedcroft/wire/messages.hpp"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace knapweedcroft {
 
@@ -22,6 +25,9 @@
  *
  * Neither carries a mark of its origin. Clients run beside the upstreams of every service, whereas an entry for calls
  * between services is called by the upstreams of a few services only.
+ *
+ * In a large fleet each node receives too few requests to decide within the first seconds of an overload, so the nodes
+ * of a service tell each other what they count until each can decide.
  */
 class entry_origin_classifier {
 public:
@@ -31,6 +37,18 @@
      */
     void recordRequest(const std::string& entry, const service_name& caller);
 
+    /**
+     * @brief Adds requests that a peer of the same service has counted.
+     * @param counted Implausibly large counts are limited, so that a faulty peer cannot decide alone.
+     */
+    void recordPeerRequests(const entry_caller_count& counted);
+
+    /** @brief Returns the requests recorded here since the last call, of entries that are still undecided. */
+    [[nodiscard]] std::vector<entry_caller_count> takeNewCounts();
+
+    /** @brief Returns counts of all entries, for a peer that starts; just as many as it needs to decide. */
+    [[nodiscard]] std::vector<entry_caller_count> summary() const;
+
     /** @brief Sets the services that have hosts in the local data centre, which most requests come from. */
     void setServices(std::set<service_name> services) { m_services = std::move(services); }
 
@@ -41,8 +59,11 @@
     struct request_counts {
         double total = 0.0;
         std::map<service_name, double> byCaller;
+        std::map<service_name, std::uint32_t> newByCaller; /*!< Recorded here and not yet told to peers. */
     };
 
+    static void add(request_counts& counts, const service_name& caller, double requests);
+
     std::set<service_name> m_services;
     std::unordered_map<std::string, request_counts> m_entries;
 };
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -14,6 +14,7 @@
 // A node that cannot be linked within this time is replaced by another one.
 static constexpr milliseconds maxConnectTime { 1500 };
 static constexpr milliseconds linkPlanInterval { 1000 };
+static constexpr milliseconds callerShareInterval { 100 };
 // The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
 static constexpr std::uint64_t maxEraJump = 1000;
 
@@ -53,6 +54,7 @@
     deliverLocally(actions);
     updateLinkPlan(actions);
     updateStoreReadMode(actions);
+    shareCallers(actions);
     return actions;
 }
 
@@ -456,6 +458,11 @@
     m_connectTimes.erase(hello.node);
     m_connectingSince.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, makeStatus() });
+    if (isTwin(hello.node)) {
+        entry_callers_message callers { m_served.callerSummary() };
+        if (!callers.counts.empty())
+            actions.emplace_back(send_to_peer { hello.node, std::move(callers) });
+    }
     if (m_table->version() < hello.catalogueOffset || !m_isDirectoryRead)
         m_catchUp.recordPeerVersions(hello.node, { hello.catalogueOffset, -1 }, m_now);
 }
@@ -614,6 +621,34 @@
         m_directoryOffset = std::max(m_directoryOffset, message.membershipOffset);
 }
 
+void gateway_core::receive(const node_name& peer, const entry_callers_message& message, gateway_actions&)
+{
+    if (isTwin(peer))
+        m_served.recordPeerCallers(message);
+}
+
+// Returns whether a node serves the same service in the same data centre, and so receives requests of the same origins.
+bool gateway_core::isTwin(const node_name& node) const
+{
+    const known_node* known = m_directory.find(node);
+    return known != nullptr && node != m_settings.node && known->isLinked
+        && known->record.data_centre == m_settings.data_centre && known->record.upstream.service == m_settings.service;
+}
+
+void gateway_core::shareCallers(gateway_actions& actions)
+{
+    if (m_now - m_callersSharedAt < internal::callerShareInterval)
+        return;
+    m_callersSharedAt = m_now;
+    const entry_callers_message callers { m_served.takeNewCallers() };
+    if (callers.counts.empty())
+        return;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (isTwin(item.first))
+            actions.emplace_back(send_to_peer { item.first, callers });
+    }
+}
+
 void gateway_core::requestCatchUp(gateway_actions& actions)
 {
     const std::optional<time_point> due = m_catchUp.nextWakeup();
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -92,6 +92,12 @@
     return false;
 }
 
+void served_requests::recordPeerCallers(const entry_callers_message& message)
+{
+    for (const entry_caller_count& counted : message.counts)
+        m_originClassifier.recordPeerRequests(counted);
+}
+
 void served_requests::recordArrival(const std::string& entry, time_point now)
 {
     if (m_upstreamOnlyEntries.count(entry) != 0)
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -81,6 +81,15 @@
     /** @brief Sets the services that have hosts in the data centre of this node. */
     void setServices(std::set<service_name> services) { m_originClassifier.setServices(std::move(services)); }
 
+    /** @brief Adds the requests that a peer of the same service has counted. */
+    void recordPeerCallers(const entry_callers_message& message);
+
+    /** @brief Returns the counts of callers to tell peers of the same service; mostly empty. */
+    [[nodiscard]] std::vector<entry_caller_count> takeNewCallers() { return m_originClassifier.takeNewCounts(); }
+
+    /** @brief Returns the counts of callers to tell a peer of the same service that starts. */
+    [[nodiscard]] std::vector<entry_caller_count> callerSummary() const { return m_originClassifier.summary(); }
+
     /** @brief Records a request received on this host, which may be a call of the upstream. */
     void recordArrival(const std::string& entry, time_point now);
 
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -150,6 +150,14 @@
             { "load", toJson(value.load) }, { "catalogue", value.catalogueVersion } };
     }
 
+    wire_json operator()(const entry_callers_message& value) const
+    {
+        wire_json counts = wire_json::array();
+        for (const entry_caller_count& item : value.counts)
+            counts.push_back({ { "e", item.entry }, { "c", item.caller }, { "n", item.count } });
+        return { { "k", "entry_callers" }, { "counts", std::move(counts) } };
+    }
+
     wire_json operator()(const cancel_message& value) const
     {
         return { { "k", "cancel" }, { "id", value.id.value() } };
@@ -510,6 +518,21 @@
     return message;
 }
 
+[[nodiscard]] static peer_message readEntryCallers(field_reader& reader, std::string&&)
+{
+    entry_callers_message message;
+    for (const wire_json& item : reader.list("counts", maxNames)) {
+        field_reader nested { item, "counts" };
+        entry_caller_count count;
+        count.entry = nested.text("e", maxTextBytes);
+        count.caller = nested.text("c", maxTextBytes);
+        count.count = readCount(nested, "n");
+        reader.mergeError(nested);
+        message.counts.push_back(std::move(count));
+    }
+    return message;
+}
+
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
 {
     return cancel_message { call_id { reader.unsignedInteger("id") } };
@@ -625,7 +648,8 @@
     { "hand_over", &readHandOver, false }, { "hand_over_ack", &readHandOverAck, false },
     { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false },
     { "store_progress", &readStoreProgress, false }, { "fwd", &readForward, true },
-    { "fwd_ans", &readForwardAnswer, true }, { "upstream", &readUpstreamStatus, false } };
+    { "fwd_ans", &readForwardAnswer, true }, { "upstream", &readUpstreamStatus, false },
+    { "entry_callers", &readEntryCallers, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -227,10 +227,28 @@
     std::int64_t catalogueVersion = -1; /*!< Version of the catalogue in force at the sender. */
 };
 
+/** @brief Number of requests of an entry that came from hosts of one service. */
+struct entry_caller_count {
+    std::string entry;
+    service_name caller;
+    std::uint32_t count = 0;
+
+    friend bool operator==(const entry_caller_count& lhs, const entry_caller_count& rhs)
+    {
+        return lhs.entry == rhs.entry && lhs.caller == rhs.caller && lhs.count == rhs.count;
+    }
+};
+
+/** @brief Requests that the sender has received, by origin; sent to nodes of the same service. */
+struct entry_callers_message {
+    std::vector<entry_caller_count> counts;
+};
+
 /** @brief Message between two nodes. */
 using peer_message = std::variant<hello_message, call_request, call_answer, cancel_message, ping_message, pong_message,
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
-    catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message>;
+    catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message,
+    entry_callers_message>;
 
 /**
  * @brief Returns the call that a message requests the receiver to run.
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -356,6 +356,15 @@
         client_limits {});
 }
 
+void setCallGraphModels(gateway_group& group)
+{
+    group.setModel("lookup", { milliseconds { 50 }, "ledger", 10 });
+    group.setModel("filing", { milliseconds { 50 }, "ledger", 5 });
+    group.setModel("codes", { milliseconds { 100 }, "", 0 });
+    group.setModel("balance", { milliseconds { 30 }, "", 0 });
+    group.setModel("ledger", { milliseconds { 20 }, "", 0 });
+}
+
 void addCallGraph(gateway_group& group)
 {
     for (const char* zone : { "z1", "z2" }) {
@@ -363,14 +372,9 @@
         group.add(std::string { "logbook-" } + zone, "logbook", zone, 100);
         group.add(std::string { "quota-" } + zone, "quota", zone, 10);
     }
-    group.setModel("lookup", { milliseconds { 50 }, "ledger", 10 });
-    group.setModel("filing", { milliseconds { 50 }, "ledger", 5 });
-    group.setModel("codes", { milliseconds { 100 }, "", 0 });
-    group.setModel("balance", { milliseconds { 30 }, "", 0 });
-    group.setModel("ledger", { milliseconds { 20 }, "", 0 });
+    setCallGraphModels(group);
     group.start();
 }
-
 } // namespace
 
 // Load pattern: the demand exceeds the capacity of the leaf service. Its 1,000 calls per second suffice for all filings
@@ -396,6 +400,35 @@
     EXPECT_GT(lookup.refused, 0.2 * lookup.sent);
 }
 
+// Load pattern: the same overload from the first second on in a large fleet, where each node sees about ten requests a
+// second. Nodes that need a minute's worth of requests to tell calls of upstreams from requests of clients refuse
+// nothing meanwhile, so that whole call trees are begun and lost for seconds after each start.
+TEST(GatewayLoad, AdmitsWhatTheLeafServiceCanFinishFromTheStartOfALargeFleet)
+{
+    gateway_group group { makeCallGraphTable() };
+    constexpr int hostsPerZone = 12;
+    for (const char* zone : { "z1", "z2" }) {
+        for (int number = 0; number < hostsPerZone; ++number) {
+            const std::string suffix = std::string { "-" } + zone + "-" + std::to_string(number);
+            group.add("registry" + suffix, "registry", zone, 20);
+            group.add("logbook" + suffix, "logbook", zone, 20);
+            if (number < 2)
+                group.add("quota" + suffix, "quota", zone, 10);
+        }
+    }
+    setCallGraphModels(group);
+    group.start();
+    group.generateLoad(
+        { { "lookup", 240.0 }, { "filing", 120.0 }, { "codes", 120.0 }, { "balance", 120.0 } }, milliseconds { 4000 });
+    group.run(milliseconds { 2000 });
+    const outcome_counts& lookup = group.counts("lookup");
+    const outcome_counts& filing = group.counts("filing");
+    // 2,000 calls per second, less 600 for filings and 180 for balances, leave capacity for 122 lookups per second.
+    EXPECT_GT(lookup.succeeded, 0.5 * 122 * 4);
+    EXPECT_GT(filing.timely, 0.85 * filing.sent);
+    EXPECT_LT(lookup.failed, 0.15 * lookup.sent);
+}
+
 // Load pattern: the leaf service is overloaded, then the load drops. From two seconds later on, requests must succeed
 // again.
 TEST(GatewayLoad, RecoversWithinTwoSecondsOfTheOverload)
--- a/test/platform/soak/fake_upstream.cpp
+++ b/test/platform/soak/fake_upstream.cpp
@@ -25,7 +25,7 @@
 } // namespace internal
 
 fake_upstream::fake_upstream(event_loop& loop, upstream_location location, const std::vector<soak_entry>& entries,
-    request_ledger& ledger, std::uint64_t seed)
+    request_ledger& ledger, std::uint64_t seed, full_behaviour onFull)
     : m_loop { loop }
     , m_location { std::move(location) }
     , m_entries { entries }
@@ -35,6 +35,7 @@
     , m_calls { loop, exchange_client_settings {} }
     , m_control { loop, http_client_settings {} }
     , m_announcements { loop, [this] { announce(); } }
+    , m_onFull { onFull }
 {
 }
 
@@ -104,6 +105,11 @@
         return;
     }
     if (m_jobs.size() >= slots + internal::queueLength) {
+        if (m_onFull == full_behaviour::hang) {
+            // The server reads the next request of a connection only after it has answered the present one.
+            ++m_hungRequests;
+            return;
+        }
         reject(request, id, internal::overloadedStatus);
         return;
     }
--- a/test/platform/soak/fake_upstream.hpp
+++ b/test/platform/soak/fake_upstream.hpp
@@ -8,6 +8,7 @@
 #include "knapweedcroft/http/pipelined_server.hpp"
 #include "knapweedcroft/net/http_client.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -28,6 +29,12 @@
     std::string hostName; /*!< `Host` header of its sub-calls. */
 };
 
+/** @brief What an upstream does with a request for which it has neither a slot nor room in its queue. */
+enum class full_behaviour : unsigned char {
+    shed, /*!< Answers that it did not run the request. */
+    hang /*!< Never answers it, nor any later request on that connection. */
+};
+
 /** @brief Fake upstream that follows the documented protocol and can inject faults. */
 class fake_upstream {
 public:
@@ -39,9 +46,10 @@
      * @param entries Kinds of requests of all services; must outlive the upstream.
      * @param ledger Records all requests; must outlive the upstream.
      * @param seed Seed of the service times.
+     * @param onFull What it does with requests that it cannot queue.
      */
     fake_upstream(event_loop& loop, upstream_location location, const std::vector<soak_entry>& entries,
-        request_ledger& ledger, std::uint64_t seed);
+        request_ledger& ledger, std::uint64_t seed, full_behaviour onFull = full_behaviour::shed);
 
     /** @brief Starts a new incarnation, which announces itself periodically. */
     void start();
@@ -52,6 +60,9 @@
     /** @brief Sets the factor applied to the service times. */
     void setServiceTimeFactor(int factor) { m_serviceTimeFactor = factor; }
 
+    /** @brief Returns the number of requests that it could not queue and never answers. */
+    [[nodiscard]] std::size_t hungRequests() const { return m_hungRequests; }
+
     /** @brief Sets whether every third response is replaced by closing the connection. */
     void setDropsResponses(bool shouldDropResponses) { m_shouldDropResponses = shouldDropResponses; }
 
@@ -91,6 +102,8 @@
     std::uint64_t m_answers = 0;
     int m_serviceTimeFactor = 1;
     bool m_shouldDropResponses = false;
+    full_behaviour m_onFull;
+    std::size_t m_hungRequests = 0;
 };
 
 } // namespace knapweedcroft::platform
--- a/test/platform/soak/fault_plan.cpp
+++ b/test/platform/soak/fault_plan.cpp
@@ -12,7 +12,7 @@
     std::string_view name;
 };
 
-static constexpr std::array<kind_name, 17> kindNames { { { fault_kind::node_kill, "node_kill" },
+static constexpr std::array<kind_name, 18> kindNames { { { fault_kind::node_kill, "node_kill" },
     { fault_kind::node_freeze, "node_freeze" }, { fault_kind::node_stop, "node_stop" },
     { fault_kind::kill_all, "kill_all" }, { fault_kind::links_silent, "links_silent" },
     { fault_kind::links_one_way, "links_one_way" }, { fault_kind::links_reset, "links_reset" },
@@ -21,7 +21,11 @@
     { fault_kind::store_answers_lost, "store_answers_lost" }, { fault_kind::store_forgets, "store_forgets" },
     { fault_kind::upstream_crash, "upstream_crash" }, { fault_kind::upstream_slow, "upstream_slow" },
     { fault_kind::upstream_answers_lost, "upstream_answers_lost" },
-    { fault_kind::configuration_change, "configuration_change" } } };
+    { fault_kind::configuration_change, "configuration_change" },
+    { fault_kind::store_older_copy, "store_older_copy" } } };
+
+// Kinds added later are drawn after the others, so that the faults of earlier seeds stay as they were.
+static constexpr std::size_t firstKinds = 17;
 
 } // namespace internal
 
@@ -49,7 +53,7 @@
     for (std::int64_t number = 0; number < count; ++number) {
         planned_fault fault;
         fault.kind = internal::kindNames[static_cast<std::size_t>(
-                                             draw(0, static_cast<std::int64_t>(internal::kindNames.size()) - 1))]
+                                             draw(0, static_cast<std::int64_t>(internal::firstKinds) - 1))]
                          .kind;
         fault.host = static_cast<std::size_t>(draw(0, static_cast<std::int64_t>(hosts) - 1));
         const std::int64_t duration = draw(minDurationMs, maxDurationMs);
@@ -57,6 +61,14 @@
         fault.start = milliseconds { draw(minStartMs, maxEndMs - duration) };
         plan.push_back(fault);
     }
+    for (std::size_t number = internal::firstKinds; number < internal::kindNames.size(); ++number) {
+        planned_fault fault;
+        fault.kind = internal::kindNames[number].kind;
+        fault.duration = milliseconds { minDurationMs };
+        fault.start = milliseconds { draw(minStartMs, maxEndMs - minDurationMs) };
+        if (draw(0, 1) == 1)
+            plan.push_back(fault);
+    }
     std::sort(plan.begin(), plan.end(),
         [](const planned_fault& lhs, const planned_fault& rhs) { return lhs.start < rhs.start; });
     return plan;
--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -30,7 +30,8 @@
     upstream_crash, /*!< A new incarnation starts when the fault ends. */
     upstream_slow,
     upstream_answers_lost,
-    configuration_change
+    configuration_change,
+    store_older_copy /*!< The store comes back from a copy of a second ago, with a new era. */
 };
 
 [[nodiscard]] std::string_view toString(fault_kind kind);
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -27,6 +27,7 @@
 static constexpr milliseconds recoveryTimeout { 45'000 };
 static constexpr milliseconds stopTimeout { 45'000 };
 static constexpr std::size_t maxAttempts = 2;
+static constexpr milliseconds copyAge { 1000 };
 static constexpr double retryRatio = 0.2;
 static constexpr int retrySlack = 20;
 
@@ -67,10 +68,11 @@
     host->ip = m_network + std::to_string(number + 1);
     host->links = std::make_unique<fault_relay>(m_loop, formatHostPort({ host->ip, internal::peerPort }));
     host->store = std::make_unique<fault_relay>(m_loop, m_store->address());
+    const full_behaviour onFull = host->service == "stock" ? full_behaviour::hang : full_behaviour::shed;
     const upstream_location location { host->node, host->service, host->data_centre,
         { host->ip, internal::upstreamPort }, formatHostPort({ host->ip, internal::controlPort }),
         formatHostPort({ host->ip, internal::clientPort }), internal::hostName };
-    host->upstream = std::make_unique<fake_upstream>(m_loop, location, m_entries, m_ledger, seed + number);
+    host->upstream = std::make_unique<fake_upstream>(m_loop, location, m_entries, m_ledger, seed + number, onFull);
     const nlohmann::json settings = {
         { "node", { { "name", host->node }, { "data_centre", host->data_centre }, { "service", host->service } } },
         { "listen",
@@ -80,7 +82,8 @@
                 { "peers", formatHostPort({ host->ip, internal::peerPort }) },
                 { "announced_peers", host->links->address() } } },
         { "upstream", { { "address", formatHostPort(location.address) }, { "announcement_interval", "500ms" } } },
-        { "store", { { "address", host->store->address() } } },
+        // The two nodes of a data centre share a reader, so that the faults also hit the hand-over between readers.
+        { "store", { { "address", host->store->address() }, { "shared_reading_from", 2 } } },
         { "retries", { { "ratio", internal::retryRatio }, { "slack", internal::retrySlack }, { "window", "10s" } } },
         { "grace", "5s" }, { "charts", std::string { KNAPWEEDCROFT_SOURCE_DIRECTORY } + "/charts" }
     };
@@ -104,7 +107,8 @@
               { "Limits",
                   { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 1048576 }, { "HeaderTimeout", "5s" },
                       { "IdleTimeout", "30s" } } } };
-    m_store->append("keyed.op", { "config", document.dump() });
+    m_configuration = document.dump();
+    m_store->append("keyed.op", { "config", m_configuration });
 }
 
 void soak_run::schedule(milliseconds delay, std::function<void()> task)
@@ -252,6 +256,11 @@
     case fault_kind::configuration_change:
         writeConfiguration();
         break;
+    case fault_kind::store_older_copy:
+        m_store->restoreOlderCopy(internal::copyAge, {});
+        // The operator notices the loss and writes the latest configuration again.
+        schedule(milliseconds { 200 }, [this] { m_store->append("keyed.op", { "config", m_configuration }); });
+        break;
     }
 }
 
@@ -393,6 +402,11 @@
         if (awaitAllRoutes("after the faults"))
             stopNodes();
     }
+    for (const std::unique_ptr<soak_host>& host : m_hosts) {
+        if (host->upstream->hungRequests() > 0)
+            m_violations.push_back(host->node + ": offered its upstream "
+                + std::to_string(host->upstream->hungRequests()) + " requests more than it can hold");
+    }
     report.violations = std::move(m_violations);
     const std::vector<std::string> broken = m_ledger.violations(
         { internal::retryRatio, static_cast<double>(internal::retrySlack), 3 }, internal::maxAttempts);
--- a/test/platform/soak/soak_run.hpp
+++ b/test/platform/soak/soak_run.hpp
@@ -94,6 +94,7 @@
     std::vector<std::string> m_violations;
     std::uint64_t m_lastRequest = 0;
     std::int64_t m_version = 0;
+    std::string m_configuration; /*!< Latest document of the operator. */
     bool m_isLoading = false;
 };
 
