Measure slow upstreams at their timeouts and tell linked nodes

With 40 % of the upstreams twelve times slower, requests to them ended at the timeout of their entry and left no sample, so a slow upstream kept the estimate of its better times and its full share of the requests. Besides, on a large fleet a node sends each upstream a request every few seconds, too few to notice.

A request that is cancelled later than expected counts as a service time of at least that long. A node tells linked nodes service times that have changed by half, and every 2 s those still above twice the lowest. Messages and bytes sent to peers are counted by kind.

Tried and left out: counting timeouts at the sender too; it took the wait in the queue for the service time.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -14,7 +14,7 @@
 // A node that cannot be linked within this time is replaced by another one.
 static constexpr milliseconds maxConnectTime { 1500 };
 static constexpr milliseconds linkPlanInterval { 1000 };
-static constexpr milliseconds callerShareInterval { 100 };
+static constexpr milliseconds shareInterval { 50 };
 // The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
 static constexpr std::uint64_t maxEraJump = 1000;
 
@@ -54,7 +54,7 @@
     deliverLocally(actions);
     updateLinkPlan(actions);
     updateStoreReadMode(actions);
-    shareCallers(actions);
+    shareMeasurements(actions);
     return actions;
 }
 
@@ -635,11 +635,35 @@
         && known->record.data_centre == m_settings.data_centre && known->record.upstream.service == m_settings.service;
 }
 
-void gateway_core::shareCallers(gateway_actions& actions)
+void gateway_core::receive(const node_name& peer, const service_times_message& message, gateway_actions&)
+{
+    m_origin.handleServiceTimes(peer, message, m_now);
+}
+
+void gateway_core::shareMeasurements(gateway_actions& actions)
 {
-    if (m_now - m_callersSharedAt < internal::callerShareInterval)
+    if (m_now - m_measurementsSharedAt < internal::shareInterval)
         return;
-    m_callersSharedAt = m_now;
+    m_measurementsSharedAt = m_now;
+    shareCallers(actions);
+    shareServiceTimes(actions);
+}
+
+// In a large fleet a node sends each upstream a request every few seconds, too few to notice that it became slow.
+void gateway_core::shareServiceTimes(gateway_actions& actions)
+{
+    const service_times_message told { m_served.takeChangedServiceTimes(m_now) };
+    if (told.times.empty())
+        return;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (item.second.isLinked && item.first != m_settings.node)
+            actions.emplace_back(send_to_peer { item.first, told });
+    }
+    m_origin.handleServiceTimes(m_settings.node, told, m_now);
+}
+
+void gateway_core::shareCallers(gateway_actions& actions)
+{
     const entry_callers_message callers { m_served.takeNewCallers() };
     if (callers.counts.empty())
         return;
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -94,6 +94,7 @@
     void receive(const node_name& peer, const catch_up_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const store_progress_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const entry_callers_message& message, gateway_actions& actions);
+    void receive(const node_name& peer, const service_times_message& message, gateway_actions& actions);
     template <typename Message> void receive(const node_name&, const Message&, gateway_actions&) { }
 
     void applyTable(const std::shared_ptr<const entry_table>& table, std::string_view source, gateway_actions& actions);
@@ -115,7 +116,9 @@
     void removeReplacedNodes(const node_name& node, gateway_actions& actions);
     void updateLocalServices();
     [[nodiscard]] bool isTwin(const node_name& node) const;
+    void shareMeasurements(gateway_actions& actions);
     void shareCallers(gateway_actions& actions);
+    void shareServiceTimes(gateway_actions& actions);
     void logLoad(gateway_actions& actions);
     void requestCatchUp(gateway_actions& actions);
     void broadcastStatus(const upstream_status_message& status, gateway_actions& actions) const;
@@ -146,7 +149,7 @@
     std::int64_t m_directoryOffset = -1; /*!< Offset up to which the directory is known; -1 if unknown. */
     bool m_isOwnRecordInStore = true; /*!< False after a change of era until the record is read back. */
     time_point m_polledAt;
-    time_point m_callersSharedAt;
+    time_point m_measurementsSharedAt;
     time_point m_loadLoggedAt;
     std::optional<bool> m_isStoreAvailable; /*!< Empty before the first answer or failure. */
     bool m_isDirectoryRead = false;
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -308,6 +308,11 @@
     values["exchanges"] = { { "connections_opened", m_upstream.counters().openedConnections },
         { "foreign_responses", m_upstream.counters().mismatchedResponses },
         { "surplus_bytes", m_upstream.counters().unsolicitedData } };
+    nlohmann::json sent = nlohmann::json::object();
+    for (const std::pair<const std::string_view, sent_message_counts>& item : m_hub.sentByKind())
+        sent[std::string { item.first }] = { { "messages", item.second.messages }, { "bytes", item.second.bytes },
+            { "remote_bytes", item.second.remoteBytes } };
+    values["sent_to_peers"] = std::move(sent);
     values.update(m_metrics.describe());
     std::string text;
     internal::appendMetrics(values, "knapweed", text);
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -85,6 +85,9 @@
      */
     void handleLinkLost(const link_closed& event, time_point now, gateway_actions& actions);
 
+    /** @brief Uses the service times that a node has measured at its upstream. */
+    void handleServiceTimes(const node_name& node, const service_times_message& message, time_point now);
+
     /** @brief Discards the measurements of a node whose upstream was replaced. */
     void handleUpstreamReplaced(const node_name& node) { m_upstreamSelector.resetMeasurements(node); }
 
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -90,6 +90,12 @@
     /** @brief Returns the counts of callers to tell a peer of the same service that starts. */
     [[nodiscard]] std::vector<entry_caller_count> callerSummary() const { return m_originClassifier.summary(); }
 
+    /** @brief Returns the service times of the upstream to tell linked nodes; mostly empty. */
+    [[nodiscard]] std::vector<entry_service_time> takeChangedServiceTimes(time_point now)
+    {
+        return m_queue.takeChangedServiceTimes(now);
+    }
+
     /** @brief Records a request received on this host, which may be a call of the upstream. */
     void recordArrival(const std::string& entry, time_point now);
 
--- a/src/knapweedcroft/gateway/store_read_election.hpp
+++ b/src/knapweedcroft/gateway/store_read_election.hpp
@@ -38,6 +38,9 @@
      */
     [[nodiscard]] milliseconds pollTimeout() const { return changeDeadline * 4 / 5; }
 
+    /** @brief Returns the pause before the first poll, in which a node that starts may find a reader to follow. */
+    [[nodiscard]] milliseconds firstPollDelay() const { return changeDeadline / 2; }
+
     /** @brief Returns the long-poll timeout of a reader, which is also the interval of its progress messages. */
     [[nodiscard]] milliseconds readerPollTimeout() const { return changeDeadline / 4; }
 
--- a/src/knapweedcroft/gateway/upstream_queue.cpp
+++ b/src/knapweedcroft/gateway/upstream_queue.cpp
@@ -14,6 +14,11 @@
 // a slot to become free.
 static constexpr std::int64_t maxLateWaitDivisor = 8;
 static constexpr milliseconds pruneInterval { 20 };
+static constexpr std::uint32_t minToldSamples = 5;
+static constexpr double toldChangeFactor = 1.5;
+static constexpr double slowFactor = 2.0;
+// Others forget what they were told by half in 4 s.
+static constexpr milliseconds slowReminderInterval { 2000 };
 
 static void updateAverage(double& mean, double sample)
 {
@@ -24,9 +29,9 @@
 
 milliseconds upstream_queue::serviceTime(const std::string& entry) const
 {
-    const auto position = m_entryServiceTimesMs.find(entry);
-    if (position != m_entryServiceTimesMs.end())
-        return milliseconds::fromFraction(position->second);
+    const auto position = m_estimates.find(entry);
+    if (position != m_estimates.end())
+        return milliseconds::fromFraction(position->second.meanMs);
     return milliseconds::fromFraction(m_meanServiceTimeMs > 0.0 ? m_meanServiceTimeMs : internal::initialServiceTimeMs);
 }
 
@@ -137,7 +142,31 @@
 {
     const double sample = (now - ended.start).count();
     internal::updateAverage(m_meanServiceTimeMs, sample);
-    internal::updateAverage(m_entryServiceTimesMs[ended.entry], sample);
+    entry_estimate& estimate = m_estimates[ended.entry];
+    internal::updateAverage(estimate.meanMs, sample);
+    ++estimate.samples;
+}
+
+std::vector<entry_service_time> upstream_queue::takeChangedServiceTimes(time_point now)
+{
+    std::vector<entry_service_time> changed;
+    for (std::pair<const std::string, entry_estimate>& item : m_estimates) {
+        entry_estimate& estimate = item.second;
+        if (estimate.samples < internal::minToldSamples)
+            continue;
+        const double ratio = estimate.toldMs <= 0.0 ? 0.0 : estimate.meanMs / estimate.toldMs;
+        const bool isChanged = ratio > internal::toldChangeFactor || ratio < 1.0 / internal::toldChangeFactor;
+        const bool isSlow = estimate.meanMs > internal::slowFactor * estimate.lowestToldMs;
+        const bool isDue = estimate.toldMs > 0.0 && isSlow && now - estimate.toldAt >= internal::slowReminderInterval;
+        if (!isChanged && !isDue)
+            continue;
+        const bool isFirst = estimate.toldMs <= 0.0;
+        estimate.lowestToldMs = isFirst ? estimate.meanMs : std::min(estimate.lowestToldMs, estimate.meanMs);
+        estimate.toldMs = estimate.meanMs;
+        estimate.toldAt = now;
+        changed.push_back({ item.first, milliseconds::fromFraction(estimate.meanMs) });
+    }
+    return changed;
 }
 
 slot_decisions upstream_queue::release(std::uint64_t id, bool isMeasured, time_point now)
@@ -145,7 +174,9 @@
     slot_decisions decisions;
     const auto running = m_running.find(id);
     if (running != m_running.end()) {
-        if (isMeasured)
+        // An upstream that answers only after the timeouts would otherwise keep the estimate of its better times.
+        const bool isLongerThanExpected = now - running->second.start > serviceTime(running->second.entry);
+        if (isMeasured || isLongerThanExpected)
             recordServiceTime(running->second, now);
         m_running.erase(running);
     }
--- a/src/knapweedcroft/gateway/upstream_queue.hpp
+++ b/src/knapweedcroft/gateway/upstream_queue.hpp
@@ -85,6 +85,7 @@
      * @brief Frees the slot of a running request, or removes a queued request.
      * @param id Identifier of the request; ignored if unknown.
      * @param isMeasured True if the upstream responded, so that the elapsed time is a valid service time sample.
+     * Otherwise it is a lower bound, which counts if it exceeds the expected service time.
      * @return Decisions for queued requests.
      */
     [[nodiscard]] slot_decisions release(std::uint64_t id, bool isMeasured, time_point now);
@@ -111,6 +112,12 @@
     /** @brief Returns the expected service time of requests of an entry. */
     [[nodiscard]] milliseconds serviceTime(const std::string& entry) const;
 
+    /**
+     * @brief Returns the service times that have changed considerably since they were last returned, and at intervals
+     * those that are still considerably above the lowest one.
+     */
+    [[nodiscard]] std::vector<entry_service_time> takeChangedServiceTimes(time_point now);
+
     /** @brief Returns the expected wait for a slot of a request queued last. */
     [[nodiscard]] milliseconds expectedSlotWait() const;
 
@@ -131,6 +138,14 @@
         time_point arrival;
     };
 
+    struct entry_estimate {
+        double meanMs = 0.0; /*!< Moving average of the service time. */
+        double toldMs = 0.0; /*!< Value last returned by `takeChangedServiceTimes`; zero if none. */
+        double lowestToldMs = 0.0;
+        std::uint32_t samples = 0;
+        time_point toldAt;
+    };
+
     struct running_request {
         std::string entry;
         time_point start;
@@ -148,7 +163,7 @@
     std::map<waiting_key, waiting_request> m_waiting;
     std::unordered_map<std::uint64_t, waiting_key> m_keysById;
     std::unordered_map<std::uint64_t, running_request> m_running;
-    std::unordered_map<std::string, double> m_entryServiceTimesMs; /*!< Moving average per entry. */
+    std::unordered_map<std::string, entry_estimate> m_estimates;
     time_point m_lastPoll;
     double m_meanServiceTimeMs = 0.0; /*!< Moving average over all entries; zero until the first sample. */
 };
--- a/src/knapweedcroft/gateway/upstream_selector.cpp
+++ b/src/knapweedcroft/gateway/upstream_selector.cpp
@@ -153,6 +153,15 @@
     updateAverage(m_entryMeansMs[entry]);
 }
 
+void upstream_selector::recordToldServiceTime(const node_name& node, const entry_service_time& told, time_point now)
+{
+    constexpr milliseconds maxPlausible { 600'000 };
+    const bool isKnownEntry = m_entryMeansMs.count(told.entry) != 0;
+    if (!isKnownEntry || told.time <= milliseconds {} || told.time > maxPlausible)
+        return;
+    m_measurements[node].byEntry[told.entry] = { told.time.count(), now };
+}
+
 void upstream_selector::recordFailure(const node_name& node, time_point now)
 {
     node_measurements& measured = m_measurements[node];
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -227,7 +227,9 @@
     if (record == nullptr || record->isDetached)
         return;
     record->isReplacement = record->link->purpose() == link_purpose::replacement;
-    record->link->send(encode(m_handlers.makeHello()), std::nullopt);
+    const hello_message hello = m_handlers.makeHello();
+    m_dataCentre = hello.data_centre;
+    sendMessage(*record, hello, std::nullopt);
 }
 
 void peer_hub::onFrame(std::uint64_t id, std::string_view frame)
@@ -504,7 +506,12 @@
 
 void peer_hub::sendMessage(link_record& record, const peer_message& message, std::optional<call_id> call)
 {
-    record.link->send(encode(message), call);
+    std::string frame = encode(message);
+    sent_message_counts& counts = m_sentByKind[kindOf(message)];
+    ++counts.messages;
+    counts.bytes += frame.size();
+    counts.remoteBytes += record.hello && record.hello->data_centre != m_dataCentre ? frame.size() : 0U;
+    record.link->send(frame, call);
 }
 
 void peer_hub::reportUnwritten(const node_name& peer, call_id call)
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -34,6 +34,13 @@
     std::uint64_t seed = 1; /*!< Seed of the back-off jitter. */
 };
 
+/** @brief Messages of one kind that were sent to peers. */
+struct sent_message_counts {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t remoteBytes = 0; /*!< To other data centres. */
+};
+
 /** @brief Callbacks of a peer hub. */
 struct peer_hub_handlers {
     std::function<hello_message()> makeHello; /*!< Returns the hello message for a newly opened link. */
@@ -105,6 +112,12 @@
     /** @brief Returns the state of the link to a peer; `closed` for an unknown peer. */
     [[nodiscard]] peer_link_state linkState(const node_name& peer) const;
 
+    /** @brief Returns what was sent to peers since the start, by kind of message. */
+    [[nodiscard]] const std::map<std::string_view, sent_message_counts>& sentByKind() const noexcept
+    {
+        return m_sentByKind;
+    }
+
     /** @brief Returns the names of the peers with an active link. */
     [[nodiscard]] std::vector<node_name> linkedPeers() const;
 
@@ -192,6 +205,8 @@
     std::map<std::uint64_t, std::unique_ptr<link_record>> m_links;
     std::map<node_name, peer_record> m_peers;
     std::map<node_name, std::vector<call_id>> m_undeliverableCalls;
+    std::map<std::string_view, sent_message_counts> m_sentByKind;
+    std::string m_dataCentre; /*!< Data centre of this node, from its hello message. */
     tcp_listener m_listener;
     loop_timer m_checkTimer;
     time_point m_lastCheck;
--- a/src/knapweedcroft/node/node_core.cpp
+++ b/src/knapweedcroft/node/node_core.cpp
@@ -399,6 +399,8 @@
 
 void node_core::receive(const node_name&, const entry_callers_message&, node_actions&) { }
 
+void node_core::receive(const node_name&, const service_times_message&, node_actions&) { }
+
 std::optional<time_point> node_core::nextWakeup() const
 {
     std::optional<time_point> next = m_origin.nextWakeup();
--- a/src/knapweedcroft/node/node_core.hpp
+++ b/src/knapweedcroft/node/node_core.hpp
@@ -101,6 +101,7 @@
     void receive(const node_name& peer, const upstream_status_message& message, node_actions& actions);
     void receive(const node_name& peer, const store_progress_message& message, node_actions& actions);
     void receive(const node_name& peer, const entry_callers_message& message, node_actions& actions);
+    void receive(const node_name& peer, const service_times_message& message, node_actions& actions);
 
     void applyViews(const std::set<service_name>& changed, node_actions& actions);
     void applyCatalogueRecords(const records_read& event, node_actions& actions);
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -158,6 +158,14 @@
         return { { "k", "entry_callers" }, { "counts", std::move(counts) } };
     }
 
+    wire_json operator()(const service_times_message& value) const
+    {
+        wire_json times = wire_json::array();
+        for (const entry_service_time& item : value.times)
+            times.push_back({ { "e", item.entry }, { "us", item.time.microseconds() } });
+        return { { "k", "service_times" }, { "times", std::move(times) } };
+    }
+
     wire_json operator()(const cancel_message& value) const
     {
         return { { "k", "cancel" }, { "id", value.id.value() } };
@@ -533,6 +541,20 @@
     return message;
 }
 
+[[nodiscard]] static peer_message readServiceTimes(field_reader& reader, std::string&&)
+{
+    service_times_message message;
+    for (const wire_json& item : reader.list("times", maxNames)) {
+        field_reader nested { item, "times" };
+        entry_service_time time;
+        time.entry = nested.text("e", maxTextBytes);
+        time.time = readDuration(nested, "us");
+        reader.mergeError(nested);
+        message.times.push_back(std::move(time));
+    }
+    return message;
+}
+
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
 {
     return cancel_message { call_id { reader.unsignedInteger("id") } };
@@ -649,7 +671,7 @@
     { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false },
     { "store_progress", &readStoreProgress, false }, { "fwd", &readForward, true },
     { "fwd_ans", &readForwardAnswer, true }, { "upstream", &readUpstreamStatus, false },
-    { "entry_callers", &readEntryCallers, false } };
+    { "entry_callers", &readEntryCallers, false }, { "service_times", &readServiceTimes, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -227,6 +228,22 @@
     std::int64_t catalogueVersion = -1; /*!< Version of the catalogue in force at the sender. */
 };
 
+/** @brief Time for which a request of an entry occupies an upstream. */
+struct entry_service_time {
+    std::string entry;
+    milliseconds time;
+
+    friend bool operator==(const entry_service_time& lhs, const entry_service_time& rhs)
+    {
+        return lhs.entry == rhs.entry && lhs.time == rhs.time;
+    }
+};
+
+/** @brief Service times of the sender's upstream that have changed considerably. */
+struct service_times_message {
+    std::vector<entry_service_time> times;
+};
+
 /** @brief Number of requests of an entry that came from hosts of one service. */
 struct entry_caller_count {
     std::string entry;
@@ -248,7 +265,10 @@
 using peer_message = std::variant<hello_message, call_request, call_answer, cancel_message, ping_message, pong_message,
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
     catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message,
-    entry_callers_message>;
+    entry_callers_message, service_times_message>;
+
+/** @brief Returns the name of a message's kind on the wire. */
+[[nodiscard]] std::string_view kindOf(const peer_message& message);
 
 /**
  * @brief Returns the call that a message requests the receiver to run.
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -444,6 +444,40 @@
     EXPECT_GT(after.timely - before.timely, 0.9 * (after.sent - before.sent));
 }
 
+// Load pattern: 40 % of the upstreams of a service become twelve times slower, so that they answer after the timeout.
+// In a large fleet a node sends each of them a request every few seconds, and one that is cancelled at its timeout used
+// to count for nothing, so the slow upstreams kept their full share of the requests.
+TEST(GatewayLoad, AvoidsUpstreamsThatAnswerAfterTheTimeout)
+{
+    gateway_group group { std::make_shared<const entry_table>(1,
+        std::vector<forward_entry> {
+            makeEntry("list", "planning", 2, true, milliseconds { 1000 }, milliseconds { 1200 }) },
+        client_limits {}) };
+    constexpr int hosts = 20;
+    for (int number = 0; number < hosts; ++number) {
+        group.add("planning-" + std::to_string(number), "planning", "z1", 30);
+        group.add("diary-" + std::to_string(number), "diary", "z1", 30);
+    }
+    group.setModel("list", { milliseconds { 190 }, "", 0 });
+    group.start();
+    group.generateLoad({ { "list", 200.0 } }, milliseconds { 4000 });
+    for (int number = 0; number < hosts * 4 / 10; ++number)
+        group.setSlowdown("planning-" + std::to_string(number), 12);
+    const outcome_counts before = group.counts("list");
+    group.generateLoad({ { "list", 200.0 } }, milliseconds { 8000 });
+    const outcome_counts slow = group.counts("list");
+    EXPECT_GT(slow.timely - before.timely, 0.85 * (slow.sent - before.sent));
+    for (int number = 0; number < hosts; ++number)
+        group.setSlowdown("planning-" + std::to_string(number), 1);
+    // After some seconds, upstreams that have recovered get their share of the requests again.
+    group.generateLoad({ { "list", 200.0 } }, milliseconds { 12'000 });
+    const auto startedAtFirst
+        = [&group] { return group.core("planning-0").describe()["served_requests"]["started"].get<int>(); };
+    const int startedBefore = startedAtFirst();
+    group.generateLoad({ { "list", 200.0 } }, milliseconds { 6000 });
+    EXPECT_GT(startedAtFirst() - startedBefore, 0.5 * 200 * 6 / hosts);
+}
+
 // Load pattern: without overload, admission control must refuse nothing.
 TEST(GatewayLoad, RefusesNothingWithoutOverload)
 {
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -212,7 +212,10 @@
     const forward_entry& entry = *m_table->find("h", action.request.target);
     const entry_model model = m_models[entry.name];
     m_nodes.at(name)->running.insert(action.id);
-    at(m_now + model.serviceTime, [this, name, id = action.id, model] { makeCalls(name, id, model, model.callCount); });
+    const auto slowdown = m_slowdowns.find(name);
+    const int factor = slowdown == m_slowdowns.end() ? 1 : slowdown->second;
+    at(m_now + model.serviceTime * factor,
+        [this, name, id = action.id, model] { makeCalls(name, id, model, model.callCount); });
 }
 
 void gateway_group::makeCalls(const std::string& name, std::uint64_t id, const entry_model& model, int remainingCalls)
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -51,6 +51,8 @@
     /** @brief Adds a gateway with an upstream; all must be added before `start`. */
     void add(const std::string& name, const std::string& service, const std::string& dataCentre, std::uint32_t slots);
     void setModel(const std::string& entry, const entry_model& value) { m_models[entry] = value; }
+    /** @brief Multiplies the service times of a gateway's upstream from now on. */
+    void setSlowdown(const std::string& name, int factor) { m_slowdowns[name] = factor; }
     /** @brief Delivers announcements, directory and catalogue, and links all gateways with each other. */
     void start();
 
@@ -149,6 +151,7 @@
     std::set<std::pair<std::string, std::string>> m_links; /*!< Names in order; only on a store. */
     std::map<std::string, directory_record> m_directory; /*!< Records in the store. */
     std::map<std::string, std::uint32_t> m_slots;
+    std::map<std::string, int> m_slowdowns;
     bool m_isOnStore = false;
     bool m_isStoreAvailable = true;
     std::map<std::string, int> m_executions; /*!< Exchanges by request identifier. */
