Report the times of cancelled requests without counting them in the queue

The elapsed time of a cancelled request counts only in what other nodes are told; the fall of the ratio is 1.8 per second again, and counts of callers are shared every 100 ms again.

Names: replica, relay, reported, in place of twin, hand on, told.

--- a/src/knapweedcroft/gateway/admission_ratio_controller.cpp
+++ b/src/knapweedcroft/gateway/admission_ratio_controller.cpp
@@ -17,7 +17,7 @@
 static constexpr double fullPenaltyWaitMs = 200.0;
 // A change of the ratio takes effect at a deep service after about 300 ms; gains above the inverse, 3.3 per second,
 // would oscillate.
-static constexpr double decreaseGainPerSecond = 2.4;
+static constexpr double decreaseGainPerSecond = 1.8;
 static constexpr double increaseGainPerSecond = 2.0;
 // At this ratio, the highest-priority rank is reduced to about a sixth. That bounds the overload that can be shed if
 // all demand is of that rank.
--- a/src/knapweedcroft/gateway/entry_origin_classifier.hpp
+++ b/src/knapweedcroft/gateway/entry_origin_classifier.hpp
@@ -27,7 +27,7 @@
  * between services is called by the upstreams of a few services only.
  *
  * In a large fleet each node receives too few requests to decide within the first seconds of an overload, so the nodes
- * of a service tell each other what they count until each can decide.
+ * of a service pool their counts until each of them can decide.
  */
 class entry_origin_classifier {
 public:
@@ -59,7 +59,7 @@
     struct request_counts {
         double total = 0.0;
         std::map<service_name, double> byCaller;
-        std::map<service_name, std::uint32_t> newByCaller; /*!< Recorded here and not yet told to peers. */
+        std::map<service_name, std::uint32_t> newByCaller; /*!< Recorded here and not yet sent to peers. */
     };
 
     static void add(request_counts& counts, const service_name& caller, double requests);
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -14,7 +14,7 @@
 // A node that cannot be linked within this time is replaced by another one.
 static constexpr milliseconds maxConnectTime { 1500 };
 static constexpr milliseconds linkPlanInterval { 1000 };
-static constexpr milliseconds shareInterval { 50 };
+static constexpr milliseconds shareInterval { 100 };
 // The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
 static constexpr std::uint64_t maxEraJump = 1000;
 
@@ -198,7 +198,7 @@
     }
     catch_up_message news;
     news.catalogue = m_table->format();
-    handOn(news, actions);
+    relay(news, actions);
 }
 
 void gateway_core::sendProgress(gateway_actions& actions) const
@@ -209,7 +209,7 @@
 }
 
 // Hands on news of the store to the nodes of the local data centre, which do not read it themselves.
-void gateway_core::handOn(const catch_up_message& news, gateway_actions& actions) const
+void gateway_core::relay(const catch_up_message& news, gateway_actions& actions) const
 {
     catch_up_message message = news;
     message.storeEra = m_storeEra;
@@ -269,7 +269,7 @@
     news.withdrawn = event.withdrawn;
     news.membershipFrom = offsetBefore;
     news.membershipOffset = event.offset;
-    handOn(news, actions);
+    relay(news, actions);
 }
 
 void gateway_core::removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions)
@@ -458,7 +458,7 @@
     m_connectTimes.erase(hello.node);
     m_connectingSince.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, makeStatus() });
-    if (isTwin(hello.node)) {
+    if (isLocalReplica(hello.node)) {
         entry_callers_message callers { m_served.callerSummary() };
         if (!callers.counts.empty())
             actions.emplace_back(send_to_peer { hello.node, std::move(callers) });
@@ -559,7 +559,7 @@
     }
     if (m_storeEra < era) {
         actions.emplace_back(internal::makeLogLine(
-            log_level::info, "store_era_heard", { { "peer", peer }, { "era", std::to_string(era) } }));
+            log_level::info, "store_era_reported", { { "peer", peer }, { "era", std::to_string(era) } }));
         const bool isFirstEra = m_storeEra == 0;
         on(store_era_changed { era }, actions);
         if (!isFirstEra)
@@ -623,12 +623,12 @@
 
 void gateway_core::receive(const node_name& peer, const entry_callers_message& message, gateway_actions&)
 {
-    if (isTwin(peer))
+    if (isLocalReplica(peer))
         m_served.recordPeerCallers(message);
 }
 
 // Returns whether a node serves the same service in the same data centre, and so receives requests of the same origins.
-bool gateway_core::isTwin(const node_name& node) const
+bool gateway_core::isLocalReplica(const node_name& node) const
 {
     const known_node* known = m_directory.find(node);
     return known != nullptr && node != m_settings.node && known->isLinked
@@ -652,14 +652,14 @@
 // In a large fleet a node sends each upstream a request every few seconds, too few to notice that it became slow.
 void gateway_core::shareServiceTimes(gateway_actions& actions)
 {
-    const service_times_message told { m_served.takeChangedServiceTimes(m_now) };
-    if (told.times.empty())
+    const service_times_message reported { m_served.takeChangedServiceTimes(m_now) };
+    if (reported.times.empty())
         return;
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
         if (item.second.isLinked && item.first != m_settings.node)
-            actions.emplace_back(send_to_peer { item.first, told });
+            actions.emplace_back(send_to_peer { item.first, reported });
     }
-    m_origin.handleServiceTimes(m_settings.node, told, m_now);
+    m_origin.handleServiceTimes(m_settings.node, reported, m_now);
 }
 
 void gateway_core::shareCallers(gateway_actions& actions)
@@ -668,7 +668,7 @@
     if (callers.counts.empty())
         return;
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (isTwin(item.first))
+        if (isLocalReplica(item.first))
             actions.emplace_back(send_to_peer { item.first, callers });
     }
 }
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -108,14 +108,14 @@
     void updateReadGroup();
     void updateStoreReadMode(gateway_actions& actions);
     void sendProgress(gateway_actions& actions) const;
-    void handOn(const catch_up_message& news, gateway_actions& actions) const;
+    void relay(const catch_up_message& news, gateway_actions& actions) const;
     void removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions);
     void checkOwnRecord(const directory_read& event, gateway_actions& actions);
     [[nodiscard]] known_versions knownVersions() const;
     [[nodiscard]] bool isCurrentEra(const node_name& peer, std::uint64_t era, gateway_actions& actions);
     void removeReplacedNodes(const node_name& node, gateway_actions& actions);
     void updateLocalServices();
-    [[nodiscard]] bool isTwin(const node_name& node) const;
+    [[nodiscard]] bool isLocalReplica(const node_name& node) const;
     void shareMeasurements(gateway_actions& actions);
     void shareCallers(gateway_actions& actions);
     void shareServiceTimes(gateway_actions& actions);
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -296,8 +296,8 @@
 
 void origin_requests::handleServiceTimes(const node_name& node, const service_times_message& message, time_point now)
 {
-    for (const entry_service_time& told : message.times)
-        m_upstreamSelector.recordToldServiceTime(node, told, now);
+    for (const entry_service_time& reported : message.times)
+        m_upstreamSelector.recordReportedServiceTime(node, reported, now);
 }
 
 void origin_requests::handleLinkLost(const link_closed& event, time_point now, gateway_actions& actions)
--- a/src/knapweedcroft/gateway/store_read_election.hpp
+++ b/src/knapweedcroft/gateway/store_read_election.hpp
@@ -17,8 +17,8 @@
 /** @brief How a node learns what changes in the store. */
 enum class store_read_mode : std::uint8_t {
     individual, /*!< Polls the store for itself. */
-    reader, /*!< Polls the store at short intervals and hands on to its data centre what it reads. */
-    follower /*!< Does not poll; a reader of its data centre hands on what it reads. */
+    reader, /*!< Polls the store at short intervals and relays what it reads to its data centre. */
+    follower /*!< Does not poll; a reader of its data centre relays what it reads. */
 };
 
 /** @brief Returns the name of a mode for logs. */
--- a/src/knapweedcroft/gateway/upstream_queue.cpp
+++ b/src/knapweedcroft/gateway/upstream_queue.cpp
@@ -14,10 +14,10 @@
 // a slot to become free.
 static constexpr std::int64_t maxLateWaitDivisor = 8;
 static constexpr milliseconds pruneInterval { 20 };
-static constexpr std::uint32_t minToldSamples = 5;
-static constexpr double toldChangeFactor = 1.5;
+static constexpr std::uint32_t minReportSamples = 5;
+static constexpr double reportChangeFactor = 1.5;
 static constexpr double slowFactor = 2.0;
-// Others forget what they were told by half in 4 s.
+// Receivers give a reported time half its weight after 4 s, so it is repeated before.
 static constexpr milliseconds slowReminderInterval { 2000 };
 
 static void updateAverage(double& mean, double sample)
@@ -29,9 +29,9 @@
 
 milliseconds upstream_queue::serviceTime(const std::string& entry) const
 {
-    const auto position = m_estimates.find(entry);
-    if (position != m_estimates.end())
-        return milliseconds::fromFraction(position->second.meanMs);
+    const auto position = m_entryServiceTimesMs.find(entry);
+    if (position != m_entryServiceTimesMs.end())
+        return milliseconds::fromFraction(position->second);
     return milliseconds::fromFraction(m_meanServiceTimeMs > 0.0 ? m_meanServiceTimeMs : internal::initialServiceTimeMs);
 }
 
@@ -142,8 +142,18 @@
 {
     const double sample = (now - ended.start).count();
     internal::updateAverage(m_meanServiceTimeMs, sample);
+    internal::updateAverage(m_entryServiceTimesMs[ended.entry], sample);
+}
+
+// An upstream that answers only after the timeouts has no service times. What is cancelled there counts as a sample of
+// the elapsed time, but only for what other nodes are told: the admission of this node relies on complete samples.
+void upstream_queue::recordElapsedTime(const running_request& ended, bool isMeasured, time_point now)
+{
     entry_estimate& estimate = m_estimates[ended.entry];
-    internal::updateAverage(estimate.meanMs, sample);
+    const double elapsed = (now - ended.start).count();
+    if (!isMeasured && elapsed <= estimate.meanMs)
+        return;
+    internal::updateAverage(estimate.meanMs, elapsed);
     ++estimate.samples;
 }
 
@@ -152,18 +162,19 @@
     std::vector<entry_service_time> changed;
     for (std::pair<const std::string, entry_estimate>& item : m_estimates) {
         entry_estimate& estimate = item.second;
-        if (estimate.samples < internal::minToldSamples)
+        if (estimate.samples < internal::minReportSamples)
             continue;
-        const double ratio = estimate.toldMs <= 0.0 ? 0.0 : estimate.meanMs / estimate.toldMs;
-        const bool isChanged = ratio > internal::toldChangeFactor || ratio < 1.0 / internal::toldChangeFactor;
-        const bool isSlow = estimate.meanMs > internal::slowFactor * estimate.lowestToldMs;
-        const bool isDue = estimate.toldMs > 0.0 && isSlow && now - estimate.toldAt >= internal::slowReminderInterval;
+        const double ratio = estimate.reportedMs <= 0.0 ? 0.0 : estimate.meanMs / estimate.reportedMs;
+        const bool isChanged = ratio > internal::reportChangeFactor || ratio < 1.0 / internal::reportChangeFactor;
+        const bool isSlow = estimate.meanMs > internal::slowFactor * estimate.lowestReportedMs;
+        const bool isDue
+            = estimate.reportedMs > 0.0 && isSlow && now - estimate.reportedAt >= internal::slowReminderInterval;
         if (!isChanged && !isDue)
             continue;
-        const bool isFirst = estimate.toldMs <= 0.0;
-        estimate.lowestToldMs = isFirst ? estimate.meanMs : std::min(estimate.lowestToldMs, estimate.meanMs);
-        estimate.toldMs = estimate.meanMs;
-        estimate.toldAt = now;
+        const bool isFirst = estimate.reportedMs <= 0.0;
+        estimate.lowestReportedMs = isFirst ? estimate.meanMs : std::min(estimate.lowestReportedMs, estimate.meanMs);
+        estimate.reportedMs = estimate.meanMs;
+        estimate.reportedAt = now;
         changed.push_back({ item.first, milliseconds::fromFraction(estimate.meanMs) });
     }
     return changed;
@@ -174,10 +185,9 @@
     slot_decisions decisions;
     const auto running = m_running.find(id);
     if (running != m_running.end()) {
-        // An upstream that answers only after the timeouts would otherwise keep the estimate of its better times.
-        const bool isLongerThanExpected = now - running->second.start > serviceTime(running->second.entry);
-        if (isMeasured || isLongerThanExpected)
+        if (isMeasured)
             recordServiceTime(running->second, now);
+        recordElapsedTime(running->second, isMeasured, now);
         m_running.erase(running);
     }
     const auto waiting = m_keysById.find(id);
--- a/src/knapweedcroft/gateway/upstream_queue.hpp
+++ b/src/knapweedcroft/gateway/upstream_queue.hpp
@@ -85,7 +85,6 @@
      * @brief Frees the slot of a running request, or removes a queued request.
      * @param id Identifier of the request; ignored if unknown.
      * @param isMeasured True if the upstream responded, so that the elapsed time is a valid service time sample.
-     * Otherwise it is a lower bound, which counts if it exceeds the expected service time.
      * @return Decisions for queued requests.
      */
     [[nodiscard]] slot_decisions release(std::uint64_t id, bool isMeasured, time_point now);
@@ -139,11 +138,11 @@
     };
 
     struct entry_estimate {
-        double meanMs = 0.0; /*!< Moving average of the service time. */
-        double toldMs = 0.0; /*!< Value last returned by `takeChangedServiceTimes`; zero if none. */
-        double lowestToldMs = 0.0;
+        double meanMs = 0.0; /*!< Moving average of the service time, including that of cancelled requests. */
+        double reportedMs = 0.0; /*!< Value last returned by `takeChangedServiceTimes`; zero if none. */
+        double lowestReportedMs = 0.0;
         std::uint32_t samples = 0;
-        time_point toldAt;
+        time_point reportedAt;
     };
 
     struct running_request {
@@ -156,6 +155,7 @@
     void dispatch(time_point now, slot_decisions& decisions);
     void pruneAndReorder(time_point now, slot_decisions& decisions);
     void recordServiceTime(const running_request& ended, time_point now);
+    void recordElapsedTime(const running_request& ended, bool isMeasured, time_point now);
 
     jitter m_jitter;
     std::uint32_t m_slots = 0;
@@ -163,7 +163,8 @@
     std::map<waiting_key, waiting_request> m_waiting;
     std::unordered_map<std::uint64_t, waiting_key> m_keysById;
     std::unordered_map<std::uint64_t, running_request> m_running;
-    std::unordered_map<std::string, entry_estimate> m_estimates;
+    std::unordered_map<std::string, double> m_entryServiceTimesMs; /*!< Moving average per entry. */
+    std::unordered_map<std::string, entry_estimate> m_estimates; /*!< Times to report to other nodes, per entry. */
     time_point m_lastPoll;
     double m_meanServiceTimeMs = 0.0; /*!< Moving average over all entries; zero until the first sample. */
 };
--- a/src/knapweedcroft/gateway/upstream_selector.cpp
+++ b/src/knapweedcroft/gateway/upstream_selector.cpp
@@ -154,17 +154,18 @@
     updateAverage(m_entryMeansMs[entry]);
 }
 
-void upstream_selector::recordToldServiceTime(const node_name& node, const entry_service_time& told, time_point now)
+void upstream_selector::recordReportedServiceTime(
+    const node_name& node, const entry_service_time& reported, time_point now)
 {
     constexpr milliseconds maxPlausible { 600'000 };
-    const bool isKnownEntry = m_entryMeansMs.count(told.entry) != 0;
-    if (!isKnownEntry || told.time <= milliseconds {} || told.time > maxPlausible)
+    const bool isKnownEntry = m_entryMeansMs.count(reported.entry) != 0;
+    if (!isKnownEntry || reported.time <= milliseconds {} || reported.time > maxPlausible)
         return;
-    service_time_estimate& estimate = m_measurements[node].byEntry[told.entry];
+    service_time_estimate& estimate = m_measurements[node].byEntry[reported.entry];
     // A node that sends this upstream many requests knows better from their answers.
     if (estimate.mean > 0.0 && now - estimate.at < internal::ownMeasurementValidity)
         return;
-    estimate = { told.time.count(), now };
+    estimate = { reported.time.count(), now };
 }
 
 void upstream_selector::recordFailure(const node_name& node, time_point now)
--- a/src/knapweedcroft/gateway/upstream_selector.hpp
+++ b/src/knapweedcroft/gateway/upstream_selector.hpp
@@ -64,7 +64,7 @@
         const node_name& node, const std::string& entry, std::optional<milliseconds> upstreamTime, time_point now);
 
     /** @brief Records the service time that a node has measured at its upstream. */
-    void recordToldServiceTime(const node_name& node, const entry_service_time& told, time_point now);
+    void recordReportedServiceTime(const node_name& node, const entry_service_time& reported, time_point now);
 
     /** @brief Records that a request failed at an upstream or was shed by it. */
     void recordFailure(const node_name& node, time_point now);
--- a/test/knapweedcroft/gateway/entry_origin_classifier.cpp
+++ b/test/knapweedcroft/gateway/entry_origin_classifier.cpp
@@ -21,11 +21,11 @@
     return classifier;
 }
 
-void exchangeCounts(std::vector<entry_origin_classifier>& twins)
+void exchangeCounts(std::vector<entry_origin_classifier>& replicas)
 {
-    for (entry_origin_classifier& sender : twins) {
+    for (entry_origin_classifier& sender : replicas) {
         for (const entry_caller_count& counted : sender.takeNewCounts()) {
-            for (entry_origin_classifier& receiver : twins) {
+            for (entry_origin_classifier& receiver : replicas) {
                 if (&receiver != &sender)
                     receiver.recordPeerRequests(counted);
             }
@@ -50,14 +50,14 @@
 // requests of an entry a second. Alone, each would decide after six seconds and refuse nothing before.
 TEST(EntryOriginClassifier, DecidesWithTheCountsOfItsTwins)
 {
-    std::vector<entry_origin_classifier> twins(10, makeClassifier());
-    for (entry_origin_classifier& twin : twins) {
-        recordEqually(twin, "read", 8);
-        EXPECT_EQ(twin.originOf("read"), entry_origin::unknown);
+    std::vector<entry_origin_classifier> replicas(10, makeClassifier());
+    for (entry_origin_classifier& replica : replicas) {
+        recordEqually(replica, "read", 8);
+        EXPECT_EQ(replica.originOf("read"), entry_origin::unknown);
     }
-    exchangeCounts(twins);
-    for (const entry_origin_classifier& twin : twins)
-        EXPECT_EQ(twin.originOf("read"), entry_origin::clients);
+    exchangeCounts(replicas);
+    for (const entry_origin_classifier& replica : replicas)
+        EXPECT_EQ(replica.originOf("read"), entry_origin::clients);
 }
 
 // Telling each other counts without end would cost messages for nothing.
--- a/test/knapweedcroft/gateway/gateway_fleet.cpp
+++ b/test/knapweedcroft/gateway/gateway_fleet.cpp
@@ -45,10 +45,10 @@
     constexpr std::int64_t seconds = 10;
     for (const int size : { 73, 195 }) {
         const std::unique_ptr<gateway_group> fleet = makeFleet(size);
-        const std::size_t before = fleet->talk.storeReads;
+        const std::size_t before = fleet->traffic.storeReads;
         fleet->run(milliseconds { seconds * 1000 });
         // A reader polls every 500 ms.
-        EXPECT_LE(fleet->talk.storeReads - before, static_cast<std::size_t>(dataCentres * 2 * seconds + 1)) << size;
+        EXPECT_LE(fleet->traffic.storeReads - before, static_cast<std::size_t>(dataCentres * 2 * seconds + 1)) << size;
     }
 }
 
@@ -57,12 +57,12 @@
 {
     for (const int size : { 12, 73, 195 }) {
         const std::unique_ptr<gateway_group> fleet = makeFleet(size);
-        const talk_counts before = fleet->talk;
+        const traffic_counts before = fleet->traffic;
         fleet->writeCatalogue(makeTable(4));
         fleet->run(milliseconds { 50 });
         EXPECT_EQ(versionsBehind(*fleet, size, 4), 0U) << size;
-        EXPECT_EQ(fleet->talk.catchUps, before.catchUps) << size;
-        EXPECT_LE(fleet->talk.messages - before.messages, static_cast<std::size_t>(size) * 3) << size;
+        EXPECT_EQ(fleet->traffic.catchUps, before.catchUps) << size;
+        EXPECT_LE(fleet->traffic.messages - before.messages, static_cast<std::size_t>(size) * 3) << size;
     }
 }
 
@@ -74,7 +74,7 @@
         const std::unique_ptr<gateway_group> fleet = makeFleet(size);
         fleet->setStoreAvailable(false);
         fleet->run(milliseconds { 2000 });
-        const talk_counts before = fleet->talk;
+        const traffic_counts before = fleet->traffic;
         constexpr int restarted = 8;
         for (int number = 0; number < restarted; ++number) {
             fleet->restart("n" + std::to_string(number));
@@ -85,7 +85,7 @@
         // A copy of the directory takes about 240 bytes a node. Other nodes ask for news twice a second, in short
         // messages.
         const std::size_t copy = static_cast<std::size_t>(size) * 260;
-        EXPECT_LE(fleet->talk.remoteBytes - before.remoteBytes, copy * restarted * 2) << size;
+        EXPECT_LE(fleet->traffic.remoteBytes - before.remoteBytes, copy * restarted * 2) << size;
     }
 }
 
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -112,7 +112,7 @@
 
 void gateway_group::pollStore(const std::string& name, bool isSnapshot)
 {
-    ++talk.storeReads;
+    ++traffic.storeReads;
     simulated_node& node = *m_nodes.at(name);
     node.nextPoll = m_now
         + (node.readMode == store_read_mode::reader ? node.settings.storeReads.readerPollTimeout()
@@ -185,10 +185,10 @@
         if (send_to_peer* sent = std::get_if<send_to_peer>(&action)) {
             const std::string peer = sent->peer;
             if (m_isOnStore) {
-                ++talk.messages;
-                talk.catchUps += std::holds_alternative<catch_up_request_message>(sent->message) ? 1U : 0U;
+                ++traffic.messages;
+                traffic.catchUps += std::holds_alternative<catch_up_request_message>(sent->message) ? 1U : 0U;
                 const bool isRemote = m_nodes.at(peer)->settings.data_centre != self.settings.data_centre;
-                talk.remoteBytes += isRemote ? encode(sent->message).size() : 0U;
+                traffic.remoteBytes += isRemote ? encode(sent->message).size() : 0U;
             }
             at(m_now, [this, name, peer, message = std::move(sent->message)] {
                 handle(peer, message_received { name, message });
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -31,7 +31,7 @@
 };
 
 /** @brief What gateways send each other and ask the store. */
-struct talk_counts {
+struct traffic_counts {
     std::size_t messages = 0;
     std::size_t remoteBytes = 0; /*!< Size of the messages between data centres. */
     std::size_t catchUps = 0; /*!< Copies of the directory or of the catalogue that were asked for. */
@@ -104,7 +104,7 @@
 
     [[nodiscard]] store_read_mode readMode(const std::string& node) const { return m_nodes.at(node)->readMode; }
 
-    talk_counts talk; /*!< Since the start of the group; counted only on a store. */
+    traffic_counts traffic; /*!< Since the start of the group; counted only on a store. */
     bool answersAutomatically = true; /*!< Upstreams answer according to the models; if false, the test answers. */
 
 private:
--- a/test/knapweedcroft/gateway/upstream_selector.cpp
+++ b/test/knapweedcroft/gateway/upstream_selector.cpp
@@ -114,10 +114,10 @@
     const upstream_candidate candidate { "n", "z1", {}, {}, {} };
     const time_point now { milliseconds { 10'000 } };
     selector.recordEnd("n", "read", milliseconds { 100 }, now);
-    selector.recordToldServiceTime("n", { "read", milliseconds { 900 } }, now + milliseconds { 300 });
+    selector.recordReportedServiceTime("n", { "read", milliseconds { 900 } }, now + milliseconds { 300 });
     EXPECT_LT(selector.predictLatency(candidate, "read", now), milliseconds { 110 });
     const time_point later = now + milliseconds { 3000 };
-    selector.recordToldServiceTime("n", { "read", milliseconds { 900 } }, later);
+    selector.recordReportedServiceTime("n", { "read", milliseconds { 900 } }, later);
     EXPECT_GT(selector.predictLatency(candidate, "read", later), milliseconds { 800 });
 }
 
@@ -129,8 +129,8 @@
     const time_point now { milliseconds { 10'000 } };
     selector.recordEnd("other", "read", milliseconds { 100 }, now);
     for (const milliseconds time : { milliseconds { -5 }, milliseconds { 0 }, milliseconds { 3'600'000 } })
-        selector.recordToldServiceTime("n", { "read", time }, now);
-    selector.recordToldServiceTime("n", { "unknown entry", milliseconds { 900 } }, now);
+        selector.recordReportedServiceTime("n", { "read", time }, now);
+    selector.recordReportedServiceTime("n", { "unknown entry", milliseconds { 900 } }, now);
     EXPECT_LT(selector.predictLatency(candidate, "read", now), milliseconds { 110 });
 }
 
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -177,7 +177,8 @@
     EXPECT_EQ(m_store.snapshotCalls, 1U);
 }
 
-// A reader that takes over has to vouch for the store at short intervals, from now on and not from the next read.
+// A reader that takes over has to confirm at short intervals that the store answers, starting at once and not after the
+// read in progress.
 TEST_F(store_client_test, ShortensTheReadInProgress)
 {
     m_pollTimeout = milliseconds { 3'600'000 };
