--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -196,9 +196,9 @@
         sendProgress(actions);
         return;
     }
-    catch_up_message news;
-    news.catalogue = m_table->format();
-    relay(news, actions);
+    catch_up_message update;
+    update.catalogue = m_table->format();
+    relay(update, actions);
 }
 
 void gateway_core::sendProgress(gateway_actions& actions) const
@@ -208,10 +208,10 @@
         actions.emplace_back(send_to_peer { peer, progress });
 }
 
-// Hands on news of the store to the nodes of the local data centre, which do not read it themselves.
-void gateway_core::relay(const catch_up_message& news, gateway_actions& actions) const
+// Relays what was read from the store to the nodes of the local data centre, which do not read it themselves.
+void gateway_core::relay(const catch_up_message& update, gateway_actions& actions) const
 {
-    catch_up_message message = news;
+    catch_up_message message = update;
     message.storeEra = m_storeEra;
     for (const node_name& peer : m_readElection.peers())
         actions.emplace_back(send_to_peer { peer, message });
@@ -264,12 +264,12 @@
     const bool isIncrement = !event.isComplete && offsetBefore >= 0 && offsetBefore < event.offset;
     if (!isIncrement || m_readMode != store_read_mode::reader)
         return;
-    catch_up_message news;
-    news.membership = node_directory::formatRecords(event.records);
-    news.withdrawn = event.withdrawn;
-    news.membershipFrom = offsetBefore;
-    news.membershipOffset = event.offset;
-    relay(news, actions);
+    catch_up_message update;
+    update.membership = node_directory::formatRecords(event.records);
+    update.withdrawn = event.withdrawn;
+    update.membershipFrom = offsetBefore;
+    update.membershipOffset = event.offset;
+    relay(update, actions);
 }
 
 void gateway_core::removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions)
@@ -649,7 +649,7 @@
     shareServiceTimes(actions);
 }
 
-// In a large fleet a node sends each upstream a request every few seconds, too few to notice that it became slow.
+// In a large fleet a node sends each upstream a request only every few seconds and would notice late that it is slow.
 void gateway_core::shareServiceTimes(gateway_actions& actions)
 {
     const service_times_message reported { m_served.takeChangedServiceTimes(m_now) };
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -108,7 +108,7 @@
     void updateReadGroup();
     void updateStoreReadMode(gateway_actions& actions);
     void sendProgress(gateway_actions& actions) const;
-    void relay(const catch_up_message& news, gateway_actions& actions) const;
+    void relay(const catch_up_message& update, gateway_actions& actions) const;
     void removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions);
     void checkOwnRecord(const directory_read& event, gateway_actions& actions);
     [[nodiscard]] known_versions knownVersions() const;
--- a/src/knapweedcroft/gateway/upstream_queue.cpp
+++ b/src/knapweedcroft/gateway/upstream_queue.cpp
@@ -146,7 +146,7 @@
 }
 
 // An upstream that answers only after the timeouts has no service times. What is cancelled there counts as a sample of
-// the elapsed time, but only for what other nodes are told: the admission of this node relies on complete samples.
+// the elapsed time, but only in the reported times: the admission of this node relies on complete samples.
 void upstream_queue::recordElapsedTime(const running_request& ended, bool isMeasured, time_point now)
 {
     entry_estimate& estimate = m_estimates[ended.entry];
