Give each process of the tests a group of its own

The shell that had started the run in the background ended at 06:30:17. A stopped process in a process group that becomes orphaned gets SIGHUP, which ends knapweed-node.

Processes of the tests are started in a process group of their own, which does not become orphaned while the test runs.

--- a/test/knapweedcroft/process/test_process.cpp
+++ b/test/knapweedcroft/process/test_process.cpp
@@ -87,7 +87,14 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, m_errors.c_str(), flags, mode);
     // Otherwise sockets that the child inherits would stay open after the test closes them.
     posix_spawn_file_actions_addclosefrom_np(&actions, firstUnsharedFd);
-    const int code = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, pointers.data(), environ);
+    // A stopped process is ended by SIGHUP when the shell that started the tests exits, unless it has a group of its own
+    // whose parent lives.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
+    posix_spawnattr_setpgroup(&attributes, 0);
+    const int code = posix_spawn(&m_pid, path.c_str(), &actions, &attributes, pointers.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (code != 0)
         throw std::runtime_error { "cannot start " + path + "; build it first" };
