--- a/test/knapweedcroft/process/test_process.cpp
+++ b/test/knapweedcroft/process/test_process.cpp
@@ -87,8 +87,8 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, m_errors.c_str(), flags, mode);
     // Otherwise sockets that the child inherits would stay open after the test closes them.
     posix_spawn_file_actions_addclosefrom_np(&actions, firstUnsharedFd);
-    // A stopped process is ended by SIGHUP when the shell that started the tests exits, unless it has a group of its own
-    // whose parent lives.
+    // A stopped process is ended by SIGHUP when the shell that started the tests exits, unless it has a group of its
+    // own whose parent lives.
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
