--- a/src/knapweedcroft/gateway/catch_up_requester.cpp
+++ b/src/knapweedcroft/gateway/catch_up_requester.cpp
@@ -8,8 +8,8 @@
 
 // News of a newer version usually precedes this node's own answer from the store by a few milliseconds.
 static constexpr milliseconds newsDelay { 100 };
-static constexpr milliseconds answerTimeout { 500 };
-static constexpr milliseconds unavailableStoreInterval { 500 };
+// Time to wait for an answer, and interval of the requests while the store is unavailable.
+static constexpr milliseconds requestInterval { 500 };
 
 [[nodiscard]] static bool isBehind(const known_versions& known, const known_versions& other)
 {
@@ -82,8 +82,8 @@
     m_pending.reset();
     m_dueAt.reset();
     std::vector<catch_up_candidate> selected = selectable(known, candidates);
-    if (m_isPolling)
-        m_dueAt = now + internal::unavailableStoreInterval;
+    if (m_isPolling || !selected.empty())
+        m_dueAt = now + internal::requestInterval;
     if (selected.empty())
         return std::nullopt;
     if (unanswered && selected.size() > 1)
@@ -91,8 +91,7 @@
                            [&unanswered](const catch_up_candidate& item) { return item.node == unanswered->peer; }),
             selected.end());
     const node_name chosen = selected[m_random() % selected.size()].node;
-    m_pending = pending_request { chosen, now + internal::answerTimeout };
-    m_dueAt = m_pending->expiresAt;
+    m_pending = pending_request { chosen, *m_dueAt };
     return chosen;
 }
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -140,18 +140,18 @@
     actions.emplace_back(internal::makeLogLine(log_level::info, std::string { logEvent },
         { { "upstream", status.upstream }, { "started_ms", std::to_string(status.startedAt) },
             { "serving", status.isServing ? "true" : "false" }, { "slots", std::to_string(status.load.slots) } }));
-    broadcastStatus(status, actions);
+    broadcast(status, actions);
     if (!m_registry.current())
         return;
     m_isRecordPublished = true;
     actions.emplace_back(publish_record { makeRecord() });
 }
 
-void gateway_core::broadcastStatus(const upstream_status_message& status, gateway_actions& actions) const
+void gateway_core::broadcast(const peer_message& message, gateway_actions& actions) const
 {
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
         if (item.second.isLinked && item.first != m_settings.node)
-            actions.emplace_back(send_to_peer { item.first, status });
+            actions.emplace_back(send_to_peer { item.first, message });
     }
 }
 
@@ -198,25 +198,27 @@
     }
     catch_up_message update;
     update.catalogue = m_table->format();
-    relay(update, actions);
+    relay(std::move(update), actions);
 }
 
 void gateway_core::sendProgress(gateway_actions& actions) const
 {
-    const store_progress_message progress { m_storeEra, m_table->version(), m_directoryOffset };
-    for (const node_name& peer : m_readElection.peers())
-        actions.emplace_back(send_to_peer { peer, progress });
+    sendToReadGroup(store_progress_message { m_storeEra, m_table->version(), m_directoryOffset }, actions);
 }
 
-// Relays what was read from the store to the nodes of the local data centre, which do not read it themselves.
-void gateway_core::relay(const catch_up_message& update, gateway_actions& actions) const
+void gateway_core::sendToReadGroup(const peer_message& message, gateway_actions& actions) const
 {
-    catch_up_message message = update;
-    message.storeEra = m_storeEra;
     for (const node_name& peer : m_readElection.peers())
         actions.emplace_back(send_to_peer { peer, message });
 }
 
+// Relays what was read from the store to the nodes of the local data centre, which do not read it themselves.
+void gateway_core::relay(catch_up_message update, gateway_actions& actions) const
+{
+    update.storeEra = m_storeEra;
+    sendToReadGroup(update, actions);
+}
+
 void gateway_core::on(const catalogue_confirmed&, gateway_actions& actions)
 {
     m_readElection.recordOwnRead(true, m_now);
@@ -269,7 +271,7 @@
     update.withdrawn = event.withdrawn;
     update.membershipFrom = offsetBefore;
     update.membershipOffset = event.offset;
-    relay(update, actions);
+    relay(std::move(update), actions);
 }
 
 void gateway_core::removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions)
@@ -332,7 +334,7 @@
     const upstream_status_message status = makeStatus();
     m_directory.updateStatus(m_settings.node, status, m_now);
     m_served.handleUpstreamChange(m_now, actions);
-    broadcastStatus(status, actions);
+    broadcast(status, actions);
     actions.emplace_back(internal::makeLogLine(log_level::info, "upstream_assumed",
         { { "upstream", status.upstream }, { "written_ms", std::to_string(record.writtenAt) } }));
 }
@@ -363,7 +365,7 @@
     m_origin.startDraining(m_now, m_now + event.grace);
     updateReadGroup();
     const upstream_status_message status = makeStatus();
-    broadcastStatus(status, actions);
+    broadcast(status, actions);
     // Keep the record while the upstream is serving, so that the next process of this node can use it at once.
     if (m_isRecordPublished && !m_registry.isServing())
         actions.emplace_back(withdraw_record {});
@@ -655,10 +657,7 @@
     const service_times_message reported { m_served.takeChangedServiceTimes(m_now) };
     if (reported.times.empty())
         return;
-    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (item.second.isLinked && item.first != m_settings.node)
-            actions.emplace_back(send_to_peer { item.first, reported });
-    }
+    broadcast(reported, actions);
     m_origin.handleServiceTimes(m_settings.node, reported, m_now);
 }
 
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -108,7 +108,8 @@
     void updateReadGroup();
     void updateStoreReadMode(gateway_actions& actions);
     void sendProgress(gateway_actions& actions) const;
-    void relay(const catch_up_message& update, gateway_actions& actions) const;
+    void sendToReadGroup(const peer_message& message, gateway_actions& actions) const;
+    void relay(catch_up_message update, gateway_actions& actions) const;
     void removeWithdrawn(const std::vector<node_name>& withdrawn, gateway_actions& actions);
     void checkOwnRecord(const directory_read& event, gateway_actions& actions);
     [[nodiscard]] known_versions knownVersions() const;
@@ -121,7 +122,7 @@
     void shareServiceTimes(gateway_actions& actions);
     void logLoad(gateway_actions& actions);
     void requestCatchUp(gateway_actions& actions);
-    void broadcastStatus(const upstream_status_message& status, gateway_actions& actions) const;
+    void broadcast(const peer_message& message, gateway_actions& actions) const;
     [[nodiscard]] upstream_status_message makeStatus() const;
     [[nodiscard]] directory_record makeRecord() const;
     void deliverLocally(gateway_actions& actions);
--- a/src/knapweedcroft/gateway/store_read_election.hpp
+++ b/src/knapweedcroft/gateway/store_read_election.hpp
@@ -31,19 +31,17 @@
     milliseconds changeDeadline { 2000 }; /*!< Time within which a change in the store has to be in force. */
 
     /**
-     * @brief Returns the long-poll timeout of a node that reads for itself.
+     * @brief Returns the long-poll timeout of the catalogue in a mode; nothing for a follower, which does not poll.
      *
-     * A poll on a connection that has gone silent ends after this time and the answer time of the store, which has to
-     * be before the next change is due.
+     * A poll of an individual node on a connection that has gone silent ends after this time and the answer time of the
+     * store, which has to be before the next change is due. The timeout of a reader is also the interval of its
+     * progress messages.
      */
-    [[nodiscard]] milliseconds pollTimeout() const { return changeDeadline * 4 / 5; }
+    [[nodiscard]] std::optional<milliseconds> pollTimeout(store_read_mode mode) const;
 
     /** @brief Returns the pause before the first poll, in which a node that starts may find a reader to follow. */
     [[nodiscard]] milliseconds firstPollDelay() const { return changeDeadline / 2; }
 
-    /** @brief Returns the long-poll timeout of a reader, which is also the interval of its progress messages. */
-    [[nodiscard]] milliseconds readerPollTimeout() const { return changeDeadline / 4; }
-
     friend bool operator==(const store_read_settings& lhs, const store_read_settings& rhs)
     {
         return lhs.minGroupSize == rhs.minGroupSize && lhs.changeDeadline == rhs.changeDeadline;
@@ -94,7 +92,7 @@
     store_read_settings m_settings;
     std::set<node_name> m_peers;
     std::map<node_name, time_point> m_progress; /*!< Time of the last progress message of each peer. */
-    std::size_t m_rank = 0; /*!< Number of peers ordered before this node. */
+    std::set<node_name> m_peersBefore; /*!< Peers ordered before this node. */
     time_point m_groupSince; /*!< Time at which the group reached its minimum size. */
     std::optional<time_point> m_ownReadFailedAt; /*!< Time of the last failure, unless a read succeeded since. */
 };
--- a/src/knapweedcroft/node/node_core.cpp
+++ b/src/knapweedcroft/node/node_core.cpp
@@ -376,12 +376,6 @@
     applyViews(m_agent.installSnapshot(message.membership, m_now), actions);
 }
 
-void node_core::receive(const node_name&, const hello_message&, node_actions&) { }
-
-void node_core::receive(const node_name&, const ping_message&, node_actions&) { }
-
-void node_core::receive(const node_name&, const pong_message&, node_actions&) { }
-
 // Opaque requests are forwarded by the gateway; a node for keyed calls has no upstream for them.
 void node_core::receive(const node_name& peer, const forward_request& message, node_actions& actions)
 {
@@ -391,16 +385,6 @@
     actions.emplace_back(send_to_peer { peer, answer });
 }
 
-void node_core::receive(const node_name&, const forward_answer&, node_actions&) { }
-
-void node_core::receive(const node_name&, const upstream_status_message&, node_actions&) { }
-
-void node_core::receive(const node_name&, const store_progress_message&, node_actions&) { }
-
-void node_core::receive(const node_name&, const entry_callers_message&, node_actions&) { }
-
-void node_core::receive(const node_name&, const service_times_message&, node_actions&) { }
-
 std::optional<time_point> node_core::nextWakeup() const
 {
     std::optional<time_point> next = m_origin.nextWakeup();
--- a/src/knapweedcroft/node/node_core.hpp
+++ b/src/knapweedcroft/node/node_core.hpp
@@ -93,15 +93,8 @@
     void receive(const node_name& peer, const hand_over_ack_message& message, node_actions& actions);
     void receive(const node_name& peer, const catch_up_request_message& message, node_actions& actions);
     void receive(const node_name& peer, const catch_up_message& message, node_actions& actions);
-    void receive(const node_name& peer, const hello_message& message, node_actions& actions);
-    void receive(const node_name& peer, const ping_message& message, node_actions& actions);
-    void receive(const node_name& peer, const pong_message& message, node_actions& actions);
     void receive(const node_name& peer, const forward_request& message, node_actions& actions);
-    void receive(const node_name& peer, const forward_answer& message, node_actions& actions);
-    void receive(const node_name& peer, const upstream_status_message& message, node_actions& actions);
-    void receive(const node_name& peer, const store_progress_message& message, node_actions& actions);
-    void receive(const node_name& peer, const entry_callers_message& message, node_actions& actions);
-    void receive(const node_name& peer, const service_times_message& message, node_actions& actions);
+    template <typename Message> void receive(const node_name&, const Message&, node_actions&) { }
 
     void applyViews(const std::set<service_name>& changed, node_actions& actions);
     void applyCatalogueRecords(const records_read& event, node_actions& actions);
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -69,10 +69,31 @@
     return wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
 }
 
+struct kind_namer {
+    std::string_view operator()(const hello_message&) const { return "hello"; }
+    std::string_view operator()(const call_request&) const { return "call"; }
+    std::string_view operator()(const call_answer&) const { return "answer"; }
+    std::string_view operator()(const cancel_message&) const { return "cancel"; }
+    std::string_view operator()(const ping_message&) const { return "ping"; }
+    std::string_view operator()(const pong_message&) const { return "pong"; }
+    std::string_view operator()(const heartbeat_message&) const { return "heartbeat"; }
+    std::string_view operator()(const state_change_message&) const { return "state_change"; }
+    std::string_view operator()(const hand_over_message&) const { return "hand_over"; }
+    std::string_view operator()(const hand_over_ack_message&) const { return "hand_over_ack"; }
+    std::string_view operator()(const catch_up_request_message&) const { return "catch_up_request"; }
+    std::string_view operator()(const catch_up_message&) const { return "catch_up"; }
+    std::string_view operator()(const store_progress_message&) const { return "store_progress"; }
+    std::string_view operator()(const forward_request&) const { return "fwd"; }
+    std::string_view operator()(const forward_answer&) const { return "fwd_ans"; }
+    std::string_view operator()(const upstream_status_message&) const { return "upstream"; }
+    std::string_view operator()(const entry_callers_message&) const { return "entry_callers"; }
+    std::string_view operator()(const service_times_message&) const { return "service_times"; }
+};
+
 struct header_writer {
     wire_json operator()(const hello_message& value) const
     {
-        return { { "k", "hello" }, { "node", value.node }, { "incarnation", value.incarnation.value() },
+        return { { "k", kind_namer {}(value) }, { "node", value.node }, { "incarnation", value.incarnation.value() },
             { "service", value.service }, { "data_centre", value.data_centre }, { "peer_address", value.peerAddress },
             { "view_offset", value.viewOffset }, { "catalogue_offset", value.catalogueOffset } };
     }
@@ -80,7 +101,7 @@
     wire_json operator()(const call_request& value) const
     {
         map_builder header;
-        header.add("k", "call").add("id", value.id.value()).add("action", value.action.value());
+        header.add("k", kind_namer {}(value)).add("id", value.id.value()).add("action", value.action.value());
         header.add("entry", value.entry).add("class", static_cast<std::uint64_t>(value.importance));
         header.add("deadline_us", value.deadline.microseconds()).add("depth", value.depth);
         header.add("budget", value.budget).add("role", static_cast<std::uint64_t>(value.role));
@@ -93,7 +114,7 @@
     wire_json operator()(const call_answer& value) const
     {
         map_builder header;
-        header.add("k", "answer").add("id", value.id.value()).add("budget_left", value.budgetLeft);
+        header.add("k", kind_namer {}(value)).add("id", value.id.value()).add("budget_left", value.budgetLeft);
         header.add("queue_us", value.queueTime.microseconds());
         writeOutcome(header, value.outcome);
         if (value.threshold) {
@@ -117,7 +138,7 @@
     wire_json operator()(const forward_request& value) const
     {
         map_builder header;
-        header.add("k", "fwd").add("id", value.id.value()).add("s", value.service);
+        header.add("k", kind_namer {}(value)).add("id", value.id.value()).add("s", value.service);
         header.add("c", value.caller).add("e", value.entry).add("r", value.requestId);
         header.add("p", value.rank).add("a", value.hasAlternative);
         header.add("d", value.deadline.microseconds()).add("t", value.target.microseconds());
@@ -129,7 +150,7 @@
     wire_json operator()(const forward_answer& value) const
     {
         map_builder header;
-        header.add("k", "fwd_ans").add("id", value.id.value());
+        header.add("k", kind_namer {}(value)).add("id", value.id.value());
         header.add("c", value.isCalledByUpstreamsOnly).add("o", toPartsPerMillion(value.admissionRatio));
         header.add("l", toJson(value.load)).add("u", value.upstreamTime.microseconds());
         if (const opaque_response* response = std::get_if<opaque_response>(&value.outcome))
@@ -145,7 +166,7 @@
 
     wire_json operator()(const upstream_status_message& value) const
     {
-        return { { "k", "upstream" }, { "upstream", value.upstream }, { "started_ms", value.startedAt },
+        return { { "k", kind_namer {}(value) }, { "upstream", value.upstream }, { "started_ms", value.startedAt },
             { "serving", value.isServing }, { "warm_up_us", value.remainingWarmUp.microseconds() },
             { "load", toJson(value.load) }, { "catalogue", value.catalogueVersion } };
     }
@@ -155,7 +176,7 @@
         wire_json counts = wire_json::array();
         for (const entry_caller_count& item : value.counts)
             counts.push_back({ { "e", item.entry }, { "c", item.caller }, { "n", item.count } });
-        return { { "k", "entry_callers" }, { "counts", std::move(counts) } };
+        return { { "k", kind_namer {}(value) }, { "counts", std::move(counts) } };
     }
 
     wire_json operator()(const service_times_message& value) const
@@ -163,19 +184,25 @@
         wire_json times = wire_json::array();
         for (const entry_service_time& item : value.times)
             times.push_back({ { "e", item.entry }, { "us", item.time.microseconds() } });
-        return { { "k", "service_times" }, { "times", std::move(times) } };
+        return { { "k", kind_namer {}(value) }, { "times", std::move(times) } };
     }
 
     wire_json operator()(const cancel_message& value) const
     {
-        return { { "k", "cancel" }, { "id", value.id.value() } };
+        return { { "k", kind_namer {}(value) }, { "id", value.id.value() } };
+    }
+    wire_json operator()(const ping_message& value) const
+    {
+        return { { "k", kind_namer {}(value) }, { "seq", value.sequence } };
+    }
+    wire_json operator()(const pong_message& value) const
+    {
+        return { { "k", kind_namer {}(value) }, { "seq", value.sequence } };
     }
-    wire_json operator()(const ping_message& value) const { return { { "k", "ping" }, { "seq", value.sequence } }; }
-    wire_json operator()(const pong_message& value) const { return { { "k", "pong" }, { "seq", value.sequence } }; }
 
     wire_json operator()(const heartbeat_message& value) const
     {
-        wire_json header = { { "k", "heartbeat" }, { "seq", value.sequence },
+        wire_json header = { { "k", kind_namer {}(value) }, { "seq", value.sequence },
             { "wall_us", value.wallTime.sinceEpoch().microseconds() }, { "incarnation", value.incarnation.value() },
             { "view_offset", value.viewOffset }, { "catalogue_offset", value.catalogueOffset },
             { "state", static_cast<std::uint64_t>(value.state) } };
@@ -190,13 +217,13 @@
 
     wire_json operator()(const state_change_message& value) const
     {
-        return { { "k", "state_change" }, { "state", static_cast<std::uint64_t>(value.state) } };
+        return { { "k", kind_namer {}(value) }, { "state", static_cast<std::uint64_t>(value.state) } };
     }
 
     wire_json operator()(const hand_over_message& value) const
     {
         wire_json header
-            = { { "k", "hand_over" }, { "view_offset", value.viewOffset }, { "complete", value.isComplete },
+            = { { "k", kind_namer {}(value) }, { "view_offset", value.viewOffset }, { "complete", value.isComplete },
                   { "complete_since_us", value.completeSince.sinceEpoch().microseconds() } };
         wire_json& entries = header["entries"] = wire_json::array();
         for (const key_record& record : value.records) {
@@ -213,19 +240,19 @@
 
     wire_json operator()(const hand_over_ack_message& value) const
     {
-        return { { "k", "hand_over_ack" }, { "view_offset", value.viewOffset } };
+        return { { "k", kind_namer {}(value) }, { "view_offset", value.viewOffset } };
     }
 
     wire_json operator()(const catch_up_request_message& value) const
     {
-        return { { "k", "catch_up_request" }, { "catalogue_offset", value.catalogueOffset },
+        return { { "k", kind_namer {}(value) }, { "catalogue_offset", value.catalogueOffset },
             { "membership_offset", value.membershipOffset } };
     }
 
     wire_json operator()(const catch_up_message& value) const
     {
-        wire_json header = { { "k", "catch_up" }, { "catalogue", value.catalogue }, { "membership", value.membership },
-            { "era", value.storeEra }, { "membership_from", value.membershipFrom },
+        wire_json header = { { "k", kind_namer {}(value) }, { "catalogue", value.catalogue },
+            { "membership", value.membership }, { "era", value.storeEra }, { "membership_from", value.membershipFrom },
             { "membership_offset", value.membershipOffset } };
         if (!value.withdrawn.empty())
             header["withdrawn"] = value.withdrawn;
@@ -234,7 +261,7 @@
 
     wire_json operator()(const store_progress_message& value) const
     {
-        return { { "k", "store_progress" }, { "era", value.storeEra }, { "catalogue", value.catalogueVersion },
+        return { { "k", kind_namer {}(value) }, { "era", value.storeEra }, { "catalogue", value.catalogueVersion },
             { "membership_offset", value.membershipOffset } };
     }
 };
@@ -295,6 +322,20 @@
     return static_cast<node_state>(reader.unsignedInteger("state", static_cast<std::uint64_t>(node_state::gone)));
 }
 
+// Reads a list of maps, each with `read`.
+template <typename Item>
+[[nodiscard]] static std::vector<Item> readItems(
+    field_reader& reader, const char* field, std::size_t maxItems, Item (*read)(field_reader&))
+{
+    std::vector<Item> items;
+    for (const wire_json& item : reader.list(field, maxItems)) {
+        field_reader nested { item, field };
+        items.push_back(read(nested));
+        reader.mergeError(nested);
+    }
+    return items;
+}
+
 [[nodiscard]] static std::vector<std::string> readNames(field_reader& reader, const char* field)
 {
     std::vector<std::string> names;
@@ -394,6 +435,15 @@
     return message;
 }
 
+[[nodiscard]] static service_threshold readThreshold(field_reader& reader)
+{
+    service_threshold threshold;
+    threshold.service = reader.text("service", maxTextBytes);
+    threshold.threshold = readPriority(reader, "threshold");
+    threshold.validity = readDuration(reader, "validity_us");
+    return threshold;
+}
+
 [[nodiscard]] static peer_message readCallAnswer(field_reader& reader, std::string&& body)
 {
     call_answer message;
@@ -408,15 +458,7 @@
         message.threshold = readPriority(reader, "threshold");
         message.thresholdValidity = readDuration(reader, "validity_us");
     }
-    for (const wire_json& item : reader.list("thresholds", maxNames)) {
-        field_reader nested { item, "thresholds" };
-        service_threshold threshold;
-        threshold.service = nested.text("service", maxTextBytes);
-        threshold.threshold = readPriority(nested, "threshold");
-        threshold.validity = readDuration(nested, "validity_us");
-        reader.mergeError(nested);
-        message.thresholds.push_back(std::move(threshold));
-    }
+    message.thresholds = readItems(reader, "thresholds", maxNames, &readThreshold);
     message.touched = readNames(reader, "touched");
     return message;
 }
@@ -526,33 +568,31 @@
     return message;
 }
 
+[[nodiscard]] static entry_caller_count readCallerCount(field_reader& reader)
+{
+    entry_caller_count count;
+    count.entry = reader.text("e", maxTextBytes);
+    count.caller = reader.text("c", maxTextBytes);
+    count.count = readCount(reader, "n");
+    return count;
+}
+
 [[nodiscard]] static peer_message readEntryCallers(field_reader& reader, std::string&&)
 {
-    entry_callers_message message;
-    for (const wire_json& item : reader.list("counts", maxNames)) {
-        field_reader nested { item, "counts" };
-        entry_caller_count count;
-        count.entry = nested.text("e", maxTextBytes);
-        count.caller = nested.text("c", maxTextBytes);
-        count.count = readCount(nested, "n");
-        reader.mergeError(nested);
-        message.counts.push_back(std::move(count));
-    }
-    return message;
+    return entry_callers_message { readItems(reader, "counts", maxNames, &readCallerCount) };
+}
+
+[[nodiscard]] static entry_service_time readServiceTime(field_reader& reader)
+{
+    entry_service_time time;
+    time.entry = reader.text("e", maxTextBytes);
+    time.time = readDuration(reader, "us");
+    return time;
 }
 
 [[nodiscard]] static peer_message readServiceTimes(field_reader& reader, std::string&&)
 {
-    service_times_message message;
-    for (const wire_json& item : reader.list("times", maxNames)) {
-        field_reader nested { item, "times" };
-        entry_service_time time;
-        time.entry = nested.text("e", maxTextBytes);
-        time.time = readDuration(nested, "us");
-        reader.mergeError(nested);
-        message.times.push_back(std::move(time));
-    }
-    return message;
+    return service_times_message { readItems(reader, "times", maxNames, &readServiceTime) };
 }
 
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
@@ -616,11 +656,7 @@
     message.viewOffset = readOffset(reader, "view_offset");
     message.isComplete = reader.boolean("complete");
     message.completeSince = readTime(reader, "complete_since_us");
-    for (const wire_json& item : reader.list("entries", maxRecords)) {
-        field_reader nested { item, "entries" };
-        message.records.push_back(readRecord(nested));
-        reader.mergeError(nested);
-    }
+    message.records = readItems(reader, "entries", maxRecords, &readRecord);
     return message;
 }
 
@@ -694,6 +730,8 @@
 
 } // namespace internal
 
+std::string_view kindOf(const peer_message& message) { return std::visit(internal::kind_namer {}, message); }
+
 std::string encode(const peer_message& message)
 {
     const internal::wire_json header = std::visit(internal::header_writer {}, message);
--- a/src/knapweedcroft/wire/codec.hpp
+++ b/src/knapweedcroft/wire/codec.hpp
@@ -20,6 +20,9 @@
  */
 [[nodiscard]] std::string encode(const peer_message& message);
 
+/** @brief Returns the name of a message's kind on the wire. */
+[[nodiscard]] std::string_view kindOf(const peer_message& message);
+
 /**
  * @brief Decodes one frame and validates every field; unknown fields are ignored.
  * @param frame Untrusted bytes; invalid input is reported as an error and never throws.
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -267,9 +266,6 @@
     catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message,
     entry_callers_message, service_times_message>;
 
-/** @brief Returns the name of a message's kind on the wire. */
-[[nodiscard]] std::string_view kindOf(const peer_message& message);
-
 /**
  * @brief Returns the call that a message requests the receiver to run.
  * @return Identifier of the call, or nothing if the message requests none.
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -43,9 +43,9 @@
     std::unique_ptr<simulated_node> added = std::make_unique<simulated_node>();
     added->settings = settings;
     added->incarnation = m_nodes.size() + 1;
+    added->slots = slots;
     createCore(*added);
     m_nodes.emplace(name, std::move(added));
-    m_slots[name] = slots;
     at(m_now, [this, name] { announce(name); });
 }
 
@@ -57,12 +57,13 @@
 
 void gateway_group::announce(const std::string& name)
 {
-    const gateway_settings& settings = m_nodes.at(name)->settings;
+    const simulated_node& node = *m_nodes.at(name);
+    const gateway_settings& settings = node.settings;
     upstream_announcement announcement;
     announcement.incarnation = { "upstream of " + name, 1 };
     announcement.service = settings.service;
     announcement.address = settings.upstreamAddress;
-    announcement.slots = m_slots.at(name);
+    announcement.slots = node.slots;
     announcement.sequence = 1;
     handle(name, announcement_received { announcement });
 }
@@ -73,7 +74,7 @@
 {
     m_isOnStore = true;
     for (const std::pair<const std::string, std::unique_ptr<simulated_node>>& item : m_nodes)
-        at(m_now, [this, name = item.first] { pollStore(name, true); });
+        at(m_now, [this, name = item.first] { pollStore(name); });
 }
 
 void gateway_group::restart(const std::string& name)
@@ -90,7 +91,7 @@
         if (isOwn)
             handle(link.first == name ? link.second : link.first, link_closed { name, {} });
     }
-    at(m_now, [this, name] { pollStore(name, true); });
+    at(m_now, [this, name] { pollStore(name); });
     at(m_now + milliseconds { 500 }, [this, name] { announce(name); });
 }
 
@@ -110,22 +111,18 @@
     handle(peer, link_opened { m_nodes.at(name)->core->makeHello() });
 }
 
-void gateway_group::pollStore(const std::string& name, bool isSnapshot)
+void gateway_group::pollStore(const std::string& name)
 {
     ++traffic.storeReads;
     simulated_node& node = *m_nodes.at(name);
-    node.nextPoll = m_now
-        + (node.readMode == store_read_mode::reader ? node.settings.storeReads.readerPollTimeout()
-                                                    : node.settings.storeReads.pollTimeout());
+    node.nextPoll = m_now + *node.settings.storeReads.pollTimeout(node.readMode);
     handle(name, store_availability_changed { m_isStoreAvailable });
     if (!m_isStoreAvailable) {
         node.nextPoll = m_now + milliseconds { 500 };
         return;
     }
-    const bool isFirst = isSnapshot || !node.isPolling;
-    node.isPolling = true;
     directory_read directory;
-    directory.isComplete = isFirst;
+    directory.isComplete = !std::exchange(node.isPolling, true);
     directory.offset = static_cast<std::int64_t>(m_directory.size());
     for (const std::pair<const std::string, directory_record>& item : m_directory)
         directory.records.push_back(item.second);
@@ -138,7 +135,7 @@
 {
     const simulated_node& node = *m_nodes.at(name);
     if (m_isOnStore && node.readMode != store_read_mode::follower && node.nextPoll <= m_now)
-        pollStore(name, false);
+        pollStore(name);
 }
 
 void gateway_group::performOnStore(const std::string& name, gateway_action& action)
@@ -212,9 +209,7 @@
     const forward_entry& entry = *m_table->find("h", action.request.target);
     const entry_model model = m_models[entry.name];
     m_nodes.at(name)->running.insert(action.id);
-    const auto slowdown = m_slowdowns.find(name);
-    const int factor = slowdown == m_slowdowns.end() ? 1 : slowdown->second;
-    at(m_now + model.serviceTime * factor,
+    at(m_now + model.serviceTime * m_nodes.at(name)->slowdown,
         [this, name, id = action.id, model] { makeCalls(name, id, model, model.callCount); });
 }
 
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -52,7 +52,8 @@
     void add(const std::string& name, const std::string& service, const std::string& dataCentre, std::uint32_t slots);
     void setModel(const std::string& entry, const entry_model& value) { m_models[entry] = value; }
     /** @brief Multiplies the service times of a gateway's upstream from now on. */
-    void setSlowdown(const std::string& name, int factor) { m_slowdowns[name] = factor; }
+    void setSlowdown(const std::string& name, int factor) { m_nodes.at(name)->slowdown = factor; }
+
     /** @brief Delivers announcements, directory and catalogue, and links all gateways with each other. */
     void start();
 
@@ -111,6 +112,8 @@
     struct simulated_node {
         gateway_settings settings;
         std::uint64_t incarnation = 0;
+        std::uint32_t slots = 0;
+        int slowdown = 1; /*!< Factor applied to the service times. */
         std::unique_ptr<gateway_core> core;
         store_read_mode readMode = store_read_mode::individual;
         time_point nextPoll;
@@ -130,7 +133,7 @@
     void announce(const std::string& name);
     void performOnStore(const std::string& name, gateway_action& action);
     void openLink(const std::string& name, const std::string& peer);
-    void pollStore(const std::string& name, bool isSnapshot);
+    void pollStore(const std::string& name);
     void pollStoreIfDue(const std::string& name);
     void at(time_point time, std::function<void()> task) { m_tasks.emplace(time, std::move(task)); }
     void perform(const std::string& name, gateway_actions& actions);
@@ -150,8 +153,6 @@
     std::map<std::string, outcome_counts> m_counts;
     std::set<std::pair<std::string, std::string>> m_links; /*!< Names in order; only on a store. */
     std::map<std::string, directory_record> m_directory; /*!< Records in the store. */
-    std::map<std::string, std::uint32_t> m_slots;
-    std::map<std::string, int> m_slowdowns;
     bool m_isOnStore = false;
     bool m_isStoreAvailable = true;
     std::map<std::string, int> m_executions; /*!< Exchanges by request identifier. */
--- a/test/platform/fake_store.cpp
+++ b/test/platform/fake_store.cpp
@@ -166,12 +166,12 @@
     startEra();
 }
 
-void fake_store::restoreOlderCopy(milliseconds age, const std::string& keptTopic)
+void fake_store::restoreOlderCopy(milliseconds age)
 {
     const time_point copied = m_clock.now() - age;
     for (std::pair<const std::string, topic_log>& item : m_topics) {
         topic_log& log = item.second;
-        while (item.first != keptTopic && !log.records.empty() && log.appendedAt.back() > copied) {
+        while (!log.records.empty() && log.appendedAt.back() > copied) {
             log.records.pop_back();
             log.appendedAt.pop_back();
         }
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -48,8 +48,8 @@
      */
     void restoreOlderCopy(const std::string& topic, std::size_t count);
 
-    /** @brief Comes back from a copy of some time ago, for all topics but one. */
-    void restoreOlderCopy(milliseconds age, const std::string& keptTopic);
+    /** @brief Comes back from a copy of some time ago. */
+    void restoreOlderCopy(milliseconds age);
 
     /** @brief Returns the number of records appended to a topic, including truncated ones. */
     [[nodiscard]] std::size_t size(const std::string& topic) { return m_topics[topic].records.size(); }
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -257,7 +257,7 @@
         writeConfiguration();
         break;
     case fault_kind::store_older_copy:
-        m_store->restoreOlderCopy(internal::copyAge, {});
+        m_store->restoreOlderCopy(internal::copyAge);
         // The operator notices the loss and writes the latest configuration again.
         schedule(milliseconds { 200 }, [this] { m_store->append("keyed.op", { "config", m_configuration }); });
         break;
