Check on real processes when configuration changes are in force

The fault soak played outages of the store by holding bytes back, so a read that was in flight was answered late and never lost, and it checked the newest route only after all faults. That route also lay below the prefix of another one, so the check could not fail. Each version now has a route of its own outside all prefixes. Clients ask for the latest ones throughout a run, and a ledger derives from the platform's bounds which version was due. New faults: the store away for all with bytes lost, open connections silenced for good, a data centre turned away, half of the nodes killed, settings reloaded; the end of a fault no longer ends others on the same host.

--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -30,8 +30,14 @@
     upstream_crash, /*!< A new incarnation starts when the fault ends. */
     upstream_slow,
     upstream_answers_lost,
-    configuration_change,
-    store_older_copy /*!< The store comes back from a copy of a second ago, with a new era. */
+    configuration_change, /*!< A series of versions; written once the store is back if it is away. */
+    store_older_copy, /*!< The store comes back from a copy of a second ago, with a new era. */
+    store_away, /*!< For all nodes; bytes on open connections are lost, and these connections stay silent for good. */
+    store_away_refusing, /*!< For all nodes; connections are reset. */
+    data_centre_turned_away, /*!< The store resets the connections of all nodes of the host's data centre. */
+    connections_silenced, /*!< All open connections to the store fall silent for good; new ones work. */
+    kill_some, /*!< SIGKILL of every second node. */
+    node_reload /*!< The settings file changes, and SIGHUP reports it. */
 };
 
 [[nodiscard]] std::string_view toString(fault_kind kind);
@@ -42,21 +48,36 @@
     std::size_t host = 0;
     milliseconds start; /*!< Relative to the start of the load. */
     milliseconds duration;
+
+    friend bool operator==(const planned_fault& lhs, const planned_fault& rhs)
+    {
+        return lhs.kind == rhs.kind && lhs.host == rhs.host && lhs.start == rhs.start && lhs.duration == rhs.duration;
+    }
+};
+
+/** @brief Size of a run and its faults. */
+struct fault_plan {
+    std::size_t hosts = 4;
+    /** @brief Nodes of a data centre that share the reading of the store; by default the two that a data centre has, so
+     * that the faults also hit the hand-over between readers. */
+    std::size_t sharedReadingFrom = 2;
+    milliseconds loadDuration { 6000 }; /*!< Time for which clients send requests; all faults end before. */
+    bool hasProbes = false; /*!< Clients also send requests for routes that only one version has. */
+    std::vector<planned_fault> faults; /*!< Ordered by start time. */
 };
 
-/** @brief Time for which clients send requests. */
-constexpr milliseconds loadDuration { 6000 };
+/** @brief Generates a random sequence of faults of all kinds, which may overlap, on four hosts. */
+[[nodiscard]] fault_plan generateFaultPlan(std::uint64_t seed);
 
 /**
- * @brief Generates a random sequence of faults, which may overlap and all end before the load does.
- * @param seed Determines the plan.
- * @param hosts Number of hosts.
- * @return The faults, ordered by start time.
+ * @brief Generates faults of the store and of nodes with series of configuration changes during and right after them.
+ *
+ * Every tenth seed has 100 hosts.
  */
-[[nodiscard]] std::vector<planned_fault> generateFaultPlan(std::uint64_t seed, std::size_t hosts);
+[[nodiscard]] fault_plan generateConfigurationPlan(std::uint64_t seed);
 
 /** @brief Returns a one-line description of a plan. */
-[[nodiscard]] std::string describe(const std::vector<planned_fault>& plan);
+[[nodiscard]] std::string describe(const fault_plan& plan);
 
 } // namespace knapweedcroft::platform
 
--- a/test/platform/soak/fault_relay.hpp
+++ b/test/platform/soak/fault_relay.hpp
@@ -18,6 +18,7 @@
     stalled, /*!< No bytes pass in either direction; held bytes are delivered afterwards. */
     requests_stalled, /*!< No bytes pass to the target. */
     answers_stalled, /*!< No bytes pass from the target. */
+    silenced, /*!< All bytes are lost; the connections of this time and those opened before never work again. */
     slow, /*!< Bytes are forwarded only every 150 ms. */
     resetting /*!< Connections are reset. */
 };
@@ -25,7 +26,8 @@
 /**
  * @brief TCP relay that injects network faults between its clients and a target.
  *
- * Bytes are delayed and never discarded, because TCP retransmits them once a partition ends.
+ * Bytes are delayed and not discarded, because TCP retransmits them once a partition ends. Only `silenced` discards
+ * them, as a middlebox does that has lost track of a connection.
  */
 class fault_relay : public test_listener {
 public:
@@ -36,11 +38,15 @@
     {
     }
 
+    [[nodiscard]] relay_mode mode() const { return m_mode; }
+
     void setMode(relay_mode mode)
     {
         m_mode = mode;
         if (mode == relay_mode::resetting)
             reset();
+        if (mode == relay_mode::silenced)
+            silenceConnections();
         for (const std::unique_ptr<connection_pair>& item : m_connections)
             update(*item);
         if (mode == relay_mode::slow)
@@ -49,6 +55,13 @@
             m_resumeTimer.stop();
     }
 
+    /** @brief Silences the open connections for good; new ones work. */
+    void silenceConnections()
+    {
+        for (const std::unique_ptr<connection_pair>& item : m_connections)
+            item->isSilenced = true;
+    }
+
     /** @brief Resets all connections. */
     void reset()
     {
@@ -69,12 +82,14 @@
         fault_relay* relay;
         stream_owner client; // Connection to the client.
         stream_owner target; // Connection to the target.
+        bool isSilenced = false; // All bytes are discarded.
     };
 
     void accept(evutil_socket_t socket) override
     {
         std::unique_ptr<connection_pair> added = std::make_unique<connection_pair>();
         added->relay = this;
+        added->isSilenced = m_mode == relay_mode::silenced;
         added->client = makeStream(socket);
         if (m_mode == relay_mode::resetting)
             return;
@@ -117,6 +132,10 @@
     static void onRead(bufferevent* stream, void* argument)
     {
         const connection_pair& item = *static_cast<connection_pair*>(argument);
+        if (item.isSilenced) {
+            evbuffer_drain(bufferevent_get_input(stream), evbuffer_get_length(bufferevent_get_input(stream)));
+            return;
+        }
         bufferevent_write_buffer(
             stream == item.client.get() ? item.target.get() : item.client.get(), bufferevent_get_input(stream));
         if (item.relay->m_mode == relay_mode::slow)
@@ -126,7 +145,7 @@
     static void onEvent(bufferevent* stream, short what, void* argument)
     {
         const connection_pair& item = *static_cast<connection_pair*>(argument);
-        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+        if (item.isSilenced || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
             return;
         shutdown(bufferevent_getfd((stream == item.client.get() ? item.target : item.client).get()), SHUT_WR);
     }
--- a/test/platform/soak/fault_soak.cpp
+++ b/test/platform/soak/fault_soak.cpp
@@ -32,13 +32,11 @@
 
 } // namespace
 
-// Guards against requests that run twice, that run although the answer says "not run", that get the answer to another
-// request or none at all, against retries beyond the budget, and against nodes that do not recover after faults.
-TEST(FaultSoak, PromisesHoldUnderSeededFaults)
+static void playSeeds(fault_plan (*generatePlan)(std::uint64_t))
 {
     const seed_range seeds = readSeeds();
     for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
-        soak_run run { seed };
+        soak_run run { seed, generatePlan(seed) };
         const soak_report report = run.execute();
         std::cout << "seed " << seed << ": " << report.violations.size() << " violations; " << report.summary << "\n  "
                   << report.plan << std::endl; // NOLINT(performance-avoid-endl): shows progress if a run is interrupted
@@ -48,4 +46,11 @@
     }
 }
 
+// Guards against requests that run twice, that run although the answer says "not run", that get the answer to another
+// request or none at all, against retries beyond the budget, and against nodes that do not recover after faults.
+TEST(FaultSoak, PromisesHoldUnderSeededFaults) { playSeeds(&generateFaultPlan); }
+
+// Guards against configuration changes that are in force too late or come back older after faults of the store.
+TEST(ConfigurationSoak, ChangesAreInForceInTime) { playSeeds(&generateConfigurationPlan); }
+
 } // namespace knapweedcroft::platform
--- a/test/platform/soak/request_ledger.cpp
+++ b/test/platform/soak/request_ledger.cpp
@@ -8,6 +8,7 @@
 namespace internal {
 
 static constexpr int okStatus = 200;
+static constexpr int notFoundStatus = 404;
 
 // These statuses guarantee that the request has not run and will not run.
 [[nodiscard]] static bool isNotRunStatus(int status)
@@ -32,6 +33,7 @@
     added.service = entry.service;
     added.path = entry.path;
     added.isIdempotent = entry.isIdempotent;
+    added.mayBeUnknown = entry.mayBeUnknown;
     added.mayStayUnanswered = m_disturbedNodes.count(node) != 0;
 }
 
@@ -108,7 +110,8 @@
     const auto isAnswerOf = [&id, &seen](const std::string& run) { return seen.body == responseBody(id, run); };
     if (seen.status == internal::okStatus && std::none_of(seen.runs.begin(), seen.runs.end(), isAnswerOf))
         found.push_back(name + "received an answer that no upstream sent for it: " + seen.body);
-    if (seen.status != 0 && !internal::isExpectedStatus(seen.status))
+    const bool isProperNotFound = seen.mayBeUnknown && seen.status == internal::notFoundStatus;
+    if (seen.status != 0 && !isProperNotFound && !internal::isExpectedStatus(seen.status))
         found.push_back(name + "unexpected status " + std::to_string(seen.status) + " " + seen.body);
     if (seen.status == 0 && !seen.mayStayUnanswered && !seen.isCancelled)
         found.push_back(name + "no answer, though its node was not disturbed: " + seen.failure);
--- a/test/platform/soak/request_ledger.hpp
+++ b/test/platform/soak/request_ledger.hpp
@@ -18,6 +18,7 @@
     std::string service;
     bool isIdempotent = false;
     std::string subCallPath; /*!< Path of the sub-call that the upstream makes; empty if there is none. */
+    bool mayBeUnknown = false; /*!< The route may be absent, so 404 is a proper answer. */
 };
 
 /** @brief Records each request as seen by callers and upstreams, and checks the guarantees of the gateway. */
@@ -75,6 +76,7 @@
         std::string service;
         std::string path;
         bool isIdempotent = false;
+        bool mayBeUnknown = false;
         bool hasEnded = false;
         bool isCancelled = false;
         bool mayStayUnanswered = false;
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -12,7 +12,6 @@
 
 namespace internal {
 
-static constexpr std::size_t hostCount = 4;
 static constexpr std::uint16_t clientPort = 7001;
 static constexpr std::uint16_t readyPort = 7002;
 static constexpr std::uint16_t controlPort = 7003;
@@ -21,15 +20,27 @@
 static constexpr std::uint16_t storePort = 6000;
 static constexpr const char* hostName = "farm.example";
 static constexpr milliseconds loadInterval { 4 };
+static constexpr milliseconds probeInterval { 10 };
+static constexpr milliseconds pollInterval { 20 };
+// A longer gap between two polls means that the machine is too busy for this process, and so perhaps for the nodes too.
+static constexpr milliseconds minStall { 250 };
+static constexpr milliseconds changeInterval { 40 }; // Between the versions of a series.
+static constexpr std::size_t versionsPerSeries = 3;
 static constexpr std::int64_t requestDeadlineMs = 2000;
 // Exceeds the slowest response on a busy machine, so that only a missing response times out.
 static constexpr milliseconds clientTimeout { 15'000 };
 static constexpr milliseconds recoveryTimeout { 45'000 };
 static constexpr milliseconds stopTimeout { 45'000 };
 static constexpr std::size_t maxAttempts = 2;
+static constexpr int slowFactor = 10;
+static constexpr std::int64_t graceMs = 5000;
 static constexpr milliseconds copyAge { 1000 };
 static constexpr double retryRatio = 0.2;
 static constexpr int retrySlack = 20;
+static constexpr milliseconds retryWindow { 10'000 };
+static constexpr std::size_t windowsBesideLoad = 3; // Retry windows that a run overlaps besides those of its load.
+static constexpr int okStatus = 200;
+static constexpr int notFoundStatus = 404;
 
 [[nodiscard]] static nlohmann::json makeRoute(const soak_entry& entry, const std::string& name)
 {
@@ -38,15 +49,83 @@
         { "TargetLatency", "400ms" }, { "Priority", entry.isIdempotent ? 1 : 0 } };
 }
 
+[[nodiscard]] static bool isNodeFault(fault_kind kind)
+{
+    constexpr std::array<fault_kind, 5> kinds { fault_kind::node_kill, fault_kind::node_freeze, fault_kind::node_stop,
+        fault_kind::kill_all, fault_kind::kill_some };
+    return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+}
+
+[[nodiscard]] static std::optional<relay_mode> linkMode(fault_kind kind)
+{
+    switch (kind) {
+    case fault_kind::links_silent:
+        return relay_mode::stalled;
+    case fault_kind::links_one_way:
+        return relay_mode::answers_stalled;
+    case fault_kind::links_reset:
+        return relay_mode::resetting;
+    case fault_kind::links_slow:
+        return relay_mode::slow;
+    default:
+        return std::nullopt;
+    }
+}
+
+[[nodiscard]] static std::optional<relay_mode> storeMode(fault_kind kind)
+{
+    switch (kind) {
+    case fault_kind::store_refusing:
+    case fault_kind::store_away_refusing:
+    case fault_kind::data_centre_turned_away:
+        return relay_mode::resetting;
+    case fault_kind::store_silent:
+        return relay_mode::stalled;
+    case fault_kind::store_slow:
+        return relay_mode::slow;
+    case fault_kind::store_answers_lost:
+        return relay_mode::answers_stalled;
+    case fault_kind::store_away:
+        return relay_mode::silenced;
+    default:
+        return std::nullopt;
+    }
+}
+
+// Outages of the store and nodes turned away are recorded apart, since they extend the deadline of a change.
+[[nodiscard]] static bool disturbsNode(fault_kind kind)
+{
+    constexpr std::array<fault_kind, 4> storeFaults { fault_kind::store_refusing, fault_kind::store_silent,
+        fault_kind::store_slow, fault_kind::store_answers_lost };
+    return linkMode(kind) || std::find(storeFaults.begin(), storeFaults.end(), kind) != storeFaults.end();
+}
+
 } // namespace internal
 
-soak_run::soak_run(std::uint64_t seed)
-    : m_plan { generateFaultPlan(seed, internal::hostCount) }
+[[nodiscard]] static soak_entry entryOfVersion(std::int64_t version)
+{
+    return { "/version/" + std::to_string(version) + "/", "stock", true, "", true };
+}
+
+[[nodiscard]] static opaque_request makeRequest(const std::string& id, const soak_entry& entry)
+{
+    opaque_request request;
+    request.method = entry.isIdempotent ? "GET" : "POST";
+    request.target = entry.path + id;
+    request.headers = { { "Host", internal::hostName }, { "X-Request-Id", id },
+        { "X-Deadline-Ms", std::to_string(internal::requestDeadlineMs) } };
+    return request;
+}
+
+soak_run::soak_run(std::uint64_t seed, fault_plan plan)
+    : m_plan { std::move(plan) }
     , m_random { seed }
     , m_entries { { "/order/", "shop", false, "/reserve/" }, { "/look/", "shop", true, "/count/" },
-        { "/reserve/", "stock", false, "" }, { "/count/", "stock", true, "" } }
+        { "/reserve/", "stock", false, "" }, { "/count/", "stock", true, "" },
+        { "/version/", "stock", true, "", true } }
     , m_clients { m_loop, exchange_client_settings {} }
     , m_loadTimer { m_loop, [this] { sendNextRequest(); } }
+    , m_probeTimer { m_loop, [this] { sendNextProbe(); } }
     , m_pollTimer { m_loop, [this] { pollNodes(); } }
     , m_readiness { m_loop, http_client_settings {} }
 {
@@ -55,7 +134,7 @@
     const unsigned process = static_cast<unsigned>(getpid());
     m_network = "127." + std::to_string((process >> bits) & mask) + "." + std::to_string(process & mask) + ".";
     m_store = std::make_unique<fake_store>(m_loop, m_network + "250", internal::storePort);
-    for (std::size_t number = 0; number < internal::hostCount; ++number)
+    for (std::size_t number = 0; number < m_plan.hosts; ++number)
         makeHost(number, seed);
 }
 
@@ -63,8 +142,9 @@
 {
     std::unique_ptr<soak_host> host = std::make_unique<soak_host>();
     host->service = number % 2 == 0 ? "shop" : "stock";
-    host->data_centre = number < 2 ? "north" : "south";
-    host->node = host->service + "-" + host->data_centre;
+    host->data_centre = number < m_plan.hosts / 2 ? "north" : "south";
+    host->node = host->service + "-" + host->data_centre + "-" + std::to_string(number);
+    host->number = number;
     host->ip = m_network + std::to_string(number + 1);
     host->links = std::make_unique<fault_relay>(m_loop, formatHostPort({ host->ip, internal::peerPort }));
     host->store = std::make_unique<fault_relay>(m_loop, m_store->address());
@@ -82,26 +162,40 @@
                 { "peers", formatHostPort({ host->ip, internal::peerPort }) },
                 { "announced_peers", host->links->address() } } },
         { "upstream", { { "address", formatHostPort(location.address) }, { "announcement_interval", "500ms" } } },
-        // The two nodes of a data centre share a reader, so that the faults also hit the hand-over between readers.
-        { "store", { { "address", host->store->address() }, { "shared_reading_from", 2 } } },
-        { "retries", { { "ratio", internal::retryRatio }, { "slack", internal::retrySlack }, { "window", "10s" } } },
-        { "grace", "5s" }, { "charts", std::string { KNAPWEEDCROFT_SOURCE_DIRECTORY } + "/charts" }
+        { "store", { { "address", host->store->address() }, { "shared_reading_from", m_plan.sharedReadingFrom } } },
+        { "retries",
+            { { "ratio", internal::retryRatio }, { "slack", internal::retrySlack },
+                { "window", std::to_string(internal::retryWindow.whole()) + "ms" } } },
+        { "grace", std::to_string(internal::graceMs) + "ms" },
+        { "charts", std::string { KNAPWEEDCROFT_SOURCE_DIRECTORY } + "/charts" }
     };
+    host->settings = settings;
     host->settingsPath = m_folder.write(host->node + ".json", settings.dump());
     m_hosts.push_back(std::move(host));
 }
 
-// Each version adds a route of its own, which shows whether a node has applied that version.
+void soak_run::changeConfiguration(std::size_t versions)
+{
+    for (std::size_t number = 0; number < versions; ++number)
+        schedule(internal::changeInterval * static_cast<std::int64_t>(number), [this] { writeConfiguration(); });
+}
+
+// Each version has a route of its own, which shows whether a node has applied that version.
 void soak_run::writeConfiguration()
 {
+    if (isStoreAway()) {
+        ++m_deferredVersions;
+        return;
+    }
     ++m_version;
     std::ostringstream version;
     version << std::hex << std::setw(8) << std::setfill('0') << m_version;
     nlohmann::json routes = nlohmann::json::array();
-    for (const soak_entry& entry : m_entries)
-        routes.push_back(internal::makeRoute(entry, "route" + entry.path));
-    const soak_entry added { "/count/v" + std::to_string(m_version) + "/", "stock", true, "" };
-    routes.push_back(internal::makeRoute(added, "added"));
+    for (const soak_entry& entry : m_entries) {
+        if (!entry.mayBeUnknown)
+            routes.push_back(internal::makeRoute(entry, "route" + entry.path));
+    }
+    routes.push_back(internal::makeRoute(entryOfVersion(m_version), "added"));
     const nlohmann::json document
         = { { "Version", version.str() }, { "Routes", std::move(routes) }, { "Services", nlohmann::json::array() },
               { "Limits",
@@ -109,6 +203,7 @@
                       { "IdleTimeout", "30s" } } } };
     m_configuration = document.dump();
     m_store->append("keyed.op", { "config", m_configuration });
+    m_configurationLedger.recordChange(m_version, m_clock.now());
 }
 
 void soak_run::schedule(milliseconds delay, std::function<void()> task)
@@ -126,6 +221,7 @@
         m_folder, name, "knapweed-gateway", std::vector<std::string> { "--settings", host.settingsPath });
     host.state = process_state::starting;
     m_ledger.setDisturbed(host.node, true);
+    updateDisturbance(host);
 }
 
 void soak_run::killNode(soak_host& host)
@@ -134,11 +230,13 @@
     m_ledger.setDisturbed(host.node, true);
     host.process.reset();
     host.state = process_state::down;
+    updateDisturbance(host);
 }
 
 void soak_run::pollNodes()
 {
-    m_pollTimer.start(milliseconds { 20 });
+    m_pollTimer.start(internal::pollInterval);
+    detectStall();
     for (const std::unique_ptr<soak_host>& host : m_hosts) {
         if (host->state == process_state::starting && !host->isReadinessPending)
             checkReadiness(*host);
@@ -147,9 +245,21 @@
     }
 }
 
+void soak_run::detectStall()
+{
+    const time_point now = m_clock.now();
+    const time_point before = std::exchange(m_polledAt, now);
+    if (before == time_point {} || now - before < internal::minStall)
+        return;
+    for (const std::unique_ptr<soak_host>& host : m_hosts) {
+        m_configurationLedger.setDisturbed(host->node, true, before);
+        m_configurationLedger.setDisturbed(host->node, false, now);
+        updateDisturbance(*host);
+    }
+}
+
 void soak_run::checkReadiness(soak_host& host)
 {
-    constexpr int okStatus = 200;
     host.isReadinessPending = true;
     http_client_request request;
     request.address = formatHostPort({ host.ip, internal::readyPort });
@@ -158,10 +268,11 @@
     m_readiness.send(request, [this, &host](const http_outcome& outcome) {
         host.isReadinessPending = false;
         const http_response* response = std::get_if<http_response>(&outcome);
-        if (response == nullptr || response->status != okStatus || host.state != process_state::starting)
+        if (response == nullptr || response->status != internal::okStatus || host.state != process_state::starting)
             return;
         host.state = process_state::running;
         m_ledger.setDisturbed(host.node, false);
+        updateDisturbance(host);
     });
 }
 
@@ -202,81 +313,132 @@
     } else if (host.state == process_state::down) {
         startNode(host);
     }
+    updateDisturbance(host);
 }
 
-void soak_run::beginFault(const planned_fault& fault)
+void soak_run::reloadSettings(soak_host& host)
 {
-    soak_host& host = *m_hosts[fault.host];
+    host.settings["grace"] = std::to_string(internal::graceMs + ++m_reloads) + "ms";
+    host.settingsPath = m_folder.write(host.node + ".json", host.settings.dump());
+    if (host.state == process_state::running)
+        host.process->signal(SIGHUP);
+}
+
+bool soak_run::isAffected(const planned_fault& fault, const soak_host& host) const
+{
+    constexpr std::size_t everySecond = 2;
     switch (fault.kind) {
-    case fault_kind::node_kill:
-    case fault_kind::node_freeze:
-    case fault_kind::node_stop:
-        beginNodeFault(fault.kind, host);
-        break;
     case fault_kind::kill_all:
-        for (const std::unique_ptr<soak_host>& item : m_hosts)
-            beginNodeFault(fault_kind::node_kill, *item);
-        break;
-    case fault_kind::links_silent:
-        host.links->setMode(relay_mode::stalled);
-        break;
-    case fault_kind::links_one_way:
-        host.links->setMode(relay_mode::answers_stalled);
-        break;
-    case fault_kind::links_reset:
-        host.links->setMode(relay_mode::resetting);
-        break;
-    case fault_kind::links_slow:
-        host.links->setMode(relay_mode::slow);
-        break;
-    case fault_kind::store_refusing:
-        host.store->setMode(relay_mode::resetting);
-        break;
-    case fault_kind::store_silent:
-        host.store->setMode(relay_mode::stalled);
-        break;
-    case fault_kind::store_slow:
-        host.store->setMode(relay_mode::slow);
-        break;
-    case fault_kind::store_answers_lost:
-        host.store->setMode(relay_mode::answers_stalled);
-        break;
-    case fault_kind::store_forgets:
+    case fault_kind::store_away:
+    case fault_kind::store_away_refusing:
+    case fault_kind::connections_silenced:
+        return true;
+    case fault_kind::kill_some:
+        return host.number % everySecond == fault.host % everySecond;
+    case fault_kind::data_centre_turned_away:
+        return host.data_centre == m_hosts[fault.host]->data_centre;
+    default:
+        return host.number == fault.host;
+    }
+}
+
+void soak_run::beginFault(const planned_fault& fault)
+{
+    m_activeFaults.push_back(fault);
+    updateHosts();
+    for (const std::unique_ptr<soak_host>& host : m_hosts) {
+        if (!isAffected(fault, *host))
+            continue;
+        if (internal::isNodeFault(fault.kind))
+            beginNodeFault(fault.kind, *host);
+        if (fault.kind == fault_kind::upstream_crash)
+            host->upstream->crash();
+        if (fault.kind == fault_kind::node_reload)
+            reloadSettings(*host);
+        if (fault.kind == fault_kind::connections_silenced) {
+            host->store->silenceConnections();
+            m_configurationLedger.setDisturbed(host->node, true, m_clock.now());
+            updateDisturbance(*host);
+        }
+    }
+    if (fault.kind == fault_kind::store_forgets)
         m_store->truncateAll();
-        break;
-    case fault_kind::upstream_crash:
-        host.upstream->crash();
-        break;
-    case fault_kind::upstream_slow:
-        host.upstream->setServiceTimeFactor(10);
-        break;
-    case fault_kind::upstream_answers_lost:
-        host.upstream->setDropsResponses(true);
-        break;
-    case fault_kind::configuration_change:
-        writeConfiguration();
-        break;
-    case fault_kind::store_older_copy:
+    if (fault.kind == fault_kind::configuration_change)
+        changeConfiguration(internal::versionsPerSeries);
+    if (fault.kind == fault_kind::store_older_copy) {
         m_store->restoreOlderCopy(internal::copyAge);
         // The operator notices the loss and writes the latest configuration again.
         schedule(milliseconds { 200 }, [this] { m_store->append("keyed.op", { "config", m_configuration }); });
-        break;
     }
 }
 
 void soak_run::endFault(const planned_fault& fault)
 {
-    soak_host& host = *m_hosts[fault.host];
-    host.links->setMode(relay_mode::forwarding);
-    host.store->setMode(relay_mode::forwarding);
-    host.upstream->setServiceTimeFactor(1);
-    host.upstream->setDropsResponses(false);
-    host.upstream->start();
-    for (const std::unique_ptr<soak_host>& item : m_hosts) {
-        const bool isAffected = item.get() == &host || fault.kind == fault_kind::kill_all;
-        if (isAffected)
-            endNodeFault(*item);
+    m_activeFaults.erase(std::find(m_activeFaults.begin(), m_activeFaults.end(), fault));
+    updateHosts();
+    for (const std::unique_ptr<soak_host>& host : m_hosts) {
+        if (!isAffected(fault, *host))
+            continue;
+        if (!isUnder(*host, internal::isNodeFault))
+            endNodeFault(*host);
+        if (!isUnder(*host, [](fault_kind kind) { return kind == fault_kind::upstream_crash; }))
+            host->upstream->start();
+    }
+    if (!isStoreAway())
+        changeConfiguration(std::exchange(m_deferredVersions, 0));
+}
+
+bool soak_run::isUnder(const soak_host& host, const std::function<bool(fault_kind)>& isMatch) const
+{
+    return std::any_of(m_activeFaults.begin(), m_activeFaults.end(),
+        [&](const planned_fault& fault) { return isMatch(fault.kind) && isAffected(fault, host); });
+}
+
+bool soak_run::isStoreAway() const
+{
+    return std::any_of(m_activeFaults.begin(), m_activeFaults.end(), [](const planned_fault& fault) {
+        return fault.kind == fault_kind::store_away || fault.kind == fault_kind::store_away_refusing;
+    });
+}
+
+// Brings relays and upstreams in line with the active faults; where two disagree, the later one applies.
+void soak_run::updateHosts()
+{
+    m_configurationLedger.setOutage(isStoreAway(), m_clock.now());
+    const bool isTurningAway = std::any_of(m_activeFaults.begin(), m_activeFaults.end(),
+        [](const planned_fault& fault) { return fault.kind == fault_kind::data_centre_turned_away; });
+    m_configurationLedger.setTurningAway(isTurningAway, m_clock.now());
+    for (const std::unique_ptr<soak_host>& host : m_hosts)
+        updateHost(*host);
+}
+
+void soak_run::updateHost(soak_host& host)
+{
+    relay_mode links = relay_mode::forwarding;
+    relay_mode store = relay_mode::forwarding;
+    int serviceTimeFactor = 1;
+    bool dropsResponses = false;
+    for (const planned_fault& fault : m_activeFaults) {
+        if (!isAffected(fault, host))
+            continue;
+        links = internal::linkMode(fault.kind).value_or(links);
+        store = internal::storeMode(fault.kind).value_or(store);
+        serviceTimeFactor = fault.kind == fault_kind::upstream_slow ? internal::slowFactor : serviceTimeFactor;
+        dropsResponses = dropsResponses || fault.kind == fault_kind::upstream_answers_lost;
     }
+    if (host.links->mode() != links)
+        host.links->setMode(links);
+    if (host.store->mode() != store)
+        host.store->setMode(store);
+    host.upstream->setServiceTimeFactor(serviceTimeFactor);
+    host.upstream->setDropsResponses(dropsResponses);
+    updateDisturbance(host);
+}
+
+void soak_run::updateDisturbance(soak_host& host)
+{
+    const bool isDisturbed = host.state != process_state::running || isUnder(host, internal::disturbsNode);
+    m_configurationLedger.setDisturbed(host.node, isDisturbed, m_clock.now());
 }
 
 // --- load
@@ -296,14 +458,10 @@
 void soak_run::send(soak_host& host, const soak_entry& entry)
 {
     const std::string id = "c" + std::to_string(++m_lastRequest);
-    opaque_request request;
-    request.method = entry.isIdempotent ? "GET" : "POST";
-    request.target = entry.path + id;
-    request.headers = { { "Host", internal::hostName }, { "X-Request-Id", id },
-        { "X-Deadline-Ms", std::to_string(internal::requestDeadlineMs) } };
     m_ledger.recordSent(id, host.node, entry);
     const std::uint64_t exchange = m_clients.start(
-        formatHostPort({ host.ip, internal::clientPort }), request, [](const opaque_response&) { return true; },
+        formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
+        [](const opaque_response&) { return true; },
         [this, id](const exchange_outcome& outcome) { m_ledger.recordEnd(id, outcome); });
     constexpr std::uint64_t requestsPerCancellation = 25;
     const bool isCancelling = m_lastRequest % requestsPerCancellation == 0;
@@ -315,35 +473,59 @@
     });
 }
 
+// Asks a node for the route of one of the latest versions.
+void soak_run::sendNextProbe()
+{
+    if (!m_isLoading)
+        return;
+    m_probeTimer.start(internal::probeInterval);
+    soak_host& host = *m_hosts[m_random() % m_hosts.size()];
+    constexpr std::int64_t versions = 4;
+    const std::int64_t version = m_version - static_cast<std::int64_t>(m_random() % versions);
+    if (host.state != process_state::running || version < 1)
+        return;
+    const soak_entry entry = entryOfVersion(version);
+    const std::string id = "p" + std::to_string(++m_lastRequest);
+    configuration_probe probe { host.node, host.starts, version, m_clock.now(), {}, false };
+    m_ledger.recordSent(id, host.node, entry);
+    m_clients.start(
+        formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
+        [](const opaque_response&) { return true; },
+        [this, id, &host, probe](const exchange_outcome& outcome) mutable {
+            m_ledger.recordEnd(id, outcome);
+            const opaque_response* response = std::get_if<opaque_response>(&outcome);
+            probe.isServed = response != nullptr && response->status == internal::okStatus;
+            const bool isNotFound = response != nullptr && response->status == internal::notFoundStatus;
+            probe.endedAt = m_clock.now();
+            if (host.starts == probe.process && (probe.isServed || isNotFound))
+                m_configurationLedger.recordProbe(probe);
+        });
+}
+
 // --- phases of a run
 
 bool soak_run::awaitSuccess(soak_host& host, const soak_entry& entry)
 {
-    constexpr int okStatus = 200;
     const std::string id = "r" + std::to_string(++m_lastRequest);
-    opaque_request request;
-    request.method = entry.isIdempotent ? "GET" : "POST";
-    request.target = entry.path + id;
-    request.headers = { { "Host", internal::hostName }, { "X-Request-Id", id },
-        { "X-Deadline-Ms", std::to_string(internal::requestDeadlineMs) } };
     m_ledger.recordSent(id, host.node, entry);
     std::optional<exchange_outcome> outcome;
     m_clients.start(
-        formatHostPort({ host.ip, internal::clientPort }), request, [](const opaque_response&) { return true; },
+        formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
+        [](const opaque_response&) { return true; },
         [&outcome](exchange_outcome ended) { outcome = std::move(ended); });
     const bool hasEnded = m_loop.runUntil([&outcome] { return outcome.has_value(); }, internal::clientTimeout);
     if (!hasEnded)
         return false;
     m_ledger.recordEnd(id, *outcome);
     const opaque_response* response = std::get_if<opaque_response>(&*outcome);
-    return response != nullptr && response->status == okStatus;
+    return response != nullptr && response->status == internal::okStatus;
 }
 
 // Every node must serve every route, including the one that only the latest configuration has.
 bool soak_run::awaitAllRoutes(const std::string& what)
 {
     std::vector<soak_entry> entries = m_entries;
-    entries.push_back({ "/count/v" + std::to_string(m_version) + "/", "stock", true, "" });
+    entries.back() = entryOfVersion(m_version);
     const clock time { system_time_source {} };
     const time_point limit = time.now() + internal::recoveryTimeout;
     for (const std::unique_ptr<soak_host>& host : m_hosts) {
@@ -386,17 +568,21 @@
         startNode(*host);
         host->upstream->start();
     }
-    m_pollTimer.start(milliseconds { 20 });
+    m_pollTimer.start(internal::pollInterval);
     if (awaitAllRoutes("at the start")) {
         m_isLoading = true;
         sendNextRequest();
-        for (const planned_fault& fault : m_plan) {
-            schedule(fault.start, [this, fault] { beginFault(fault); });
-            schedule(fault.start + fault.duration, [this, fault] { endFault(fault); });
+        if (m_plan.hasProbes)
+            sendNextProbe();
+        for (const planned_fault& fault : m_plan.faults) {
+            schedule(fault.start, [this, fault] {
+                beginFault(fault);
+                schedule(fault.duration, [this, fault] { endFault(fault); });
+            });
         }
-        schedule(loadDuration, [this] { m_isLoading = false; });
-        const bool isOver = m_loop.runUntil(
-            [this] { return !m_isLoading && m_ledger.openCount() == 0; }, loadDuration + internal::clientTimeout * 2);
+        schedule(m_plan.loadDuration, [this] { m_isLoading = false; });
+        const bool isOver = m_loop.runUntil([this] { return !m_isLoading && m_ledger.openCount() == 0; },
+            m_plan.loadDuration + internal::clientTimeout * 2);
         if (!isOver)
             m_violations.push_back("requests still open after the end of the load");
         if (awaitAllRoutes("after the faults"))
@@ -408,10 +594,15 @@
                 + std::to_string(host->upstream->hungRequests()) + " requests more than it can hold");
     }
     report.violations = std::move(m_violations);
+    const std::size_t windows = static_cast<std::size_t>(m_plan.loadDuration.whole() / internal::retryWindow.whole())
+        + internal::windowsBesideLoad;
     const std::vector<std::string> broken = m_ledger.violations(
-        { internal::retryRatio, static_cast<double>(internal::retrySlack), 3 }, internal::maxAttempts);
+        { internal::retryRatio, static_cast<double>(internal::retrySlack), windows }, internal::maxAttempts);
     report.violations.insert(report.violations.end(), broken.begin(), broken.end());
-    report.summary = m_ledger.summary();
+    const std::vector<std::string> lateChanges = m_configurationLedger.violations();
+    report.violations.insert(report.violations.end(), lateChanges.begin(), lateChanges.end());
+    report.summary = m_ledger.summary() + "; " + std::to_string(m_version) + " versions, "
+        + std::to_string(m_configurationLedger.checkedProbes()) + " probes checked";
     return report;
 }
 
