Refuse a Content-Length above the limit before memory is reserved for it

A caller whose upstream announced a huge length waited until the deadline: Beast's parser reserves memory for the length in the header before it checks the limit of the body, the allocation throws, and the event loop's guard ends the callback while the exchange stays open. The check of the framing, which runs before the parser, now compares the length with the limit. A response to HEAD has no body, so its length is not limited.

exchange_client_test.FailsOnALengthAboveTheLimit failed before: no outcome within 5 s.

--- a/src/knapweedcroft/http/internal/framing.cpp
+++ b/src/knapweedcroft/http/internal/framing.cpp
@@ -3,11 +3,14 @@
 #include "knapweedcroft/http/internal/text.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <limits>
 
 namespace knapweedcroft::internal {
 
 struct framing_fields {
     std::size_t contentLengths = 0;
+    std::size_t contentLength = 0; // The largest value if it is out of range.
     std::size_t transferEncodings = 0;
     bool isLastChunked = true;
 };
@@ -32,6 +35,10 @@
         ++framing.contentLengths;
         if (!isDecimal(value))
             return parse_error { 400, "Content-Length is not one decimal number; send the body's size in bytes" };
+        const std::from_chars_result read
+            = std::from_chars(value.data(), value.data() + value.size(), framing.contentLength);
+        if (read.ec != std::errc {})
+            framing.contentLength = std::numeric_limits<std::size_t>::max();
     }
     if (isSameName(name, "Transfer-Encoding")) {
         ++framing.transferEncodings;
@@ -47,7 +54,7 @@
     return position == std::string_view::npos ? position : position + emptyLine.size();
 }
 
-std::optional<parse_error> validateHeader(std::string_view header)
+std::optional<parse_error> validateHeader(std::string_view header, const message_limits& limits)
 {
     framing_fields framing;
     std::size_t start = header.find("\r\n") + 2;
@@ -64,6 +71,9 @@
         return parse_error { 400, "Content-Length is sent more than once; send it once" };
     if (framing.contentLengths > 0 && framing.transferEncodings > 0)
         return parse_error { 400, "Content-Length and Transfer-Encoding are sent together; send one of them" };
+    // Beast's parser reserves memory for the announced length before it checks the limit.
+    if (framing.contentLength > limits.maxBodyBytes)
+        return parse_error { contentTooLarge, "the body exceeds the limit in bytes; send less" };
     if (framing.transferEncodings > 1 || !framing.isLastChunked)
         return parse_error { 400, "the transfer coding is not supported; send the body with a length or in chunks" };
     return std::nullopt;
@@ -81,7 +91,7 @@
     }
     if (end == std::string_view::npos)
         return false;
-    fault = validateHeader(bytes.substr(0, end));
+    fault = validateHeader(bytes.substr(0, end), limits);
     m_isValid = !fault;
     return m_isValid;
 }
--- a/src/knapweedcroft/http/internal/framing.hpp
+++ b/src/knapweedcroft/http/internal/framing.hpp
@@ -11,6 +11,9 @@
 
 namespace knapweedcroft::internal {
 
+/** @brief HTTP status for a body above the limit. */
+inline constexpr int contentTooLarge = 413;
+
 /**
  * @brief Finds the end of a message's header section.
  * @param bytes Bytes from the start of the message.
@@ -19,11 +22,13 @@
 [[nodiscard]] std::size_t findHeaderEnd(std::string_view bytes);
 
 /**
- * @brief Rejects framing that Beast's parser accepts but other HTTP implementations may interpret differently.
+ * @brief Rejects framing that Beast's parser accepts but other HTTP implementations may interpret differently, and a
+ * `Content-Length` above the limit.
  * @param header Header section, including its empty line.
+ * @param limits Size limits of the message.
  * @return The error, or nothing if the framing is unambiguous.
  */
-[[nodiscard]] std::optional<parse_error> validateHeader(std::string_view header);
+[[nodiscard]] std::optional<parse_error> validateHeader(std::string_view header, const message_limits& limits);
 
 /** @brief Withholds input from a parser until the complete header section has been received and validated. */
 class header_validator {
--- a/src/knapweedcroft/http/request_parser.cpp
+++ b/src/knapweedcroft/http/request_parser.cpp
@@ -38,7 +38,7 @@
     boost::system::error_code parseResult;
     const std::size_t consumed = self.parser.put(boost::asio::buffer(bytes.data(), bytes.size()), parseResult);
     if (parseResult == http::error::body_limit)
-        m_fault = parse_error { 413, "the body exceeds the limit in bytes; send less" };
+        m_fault = parse_error { internal::contentTooLarge, "the body exceeds the limit in bytes; send less" };
     else if (parseResult && parseResult != http::error::need_more)
         m_fault = parse_error { 400, "not a valid HTTP/1.1 request: " + parseResult.message() };
     return consumed;
--- a/src/knapweedcroft/http/response_parser.cpp
+++ b/src/knapweedcroft/http/response_parser.cpp
@@ -22,6 +22,9 @@
     : m_limits { limits }
     , m_isHeadResponse { isHeadResponse }
 {
+    // The length in a response to HEAD is that of a body which is not sent.
+    if (isHeadResponse)
+        m_limits.maxBodyBytes = std::numeric_limits<std::size_t>::max();
     reset();
 }
 
--- a/test/knapweedcroft/http/exchange_client.cpp
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -177,6 +177,27 @@
     EXPECT_EQ(m_server.requests, rows.size());
 }
 
+// Guards against an exchange that stays open until its deadline because no memory can be reserved for the length that a
+// server announces.
+TEST_F(exchange_client_test, FailsOnALengthAboveTheLimit)
+{
+    m_server.script = { { "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999999\r\n\r\nabc" } };
+    const exchange_outcome outcome = exchange("1");
+    ASSERT_TRUE(std::holds_alternative<exchange_failure>(outcome));
+    EXPECT_EQ(std::get<exchange_failure>(outcome).cause.kind, error_kind::connection_failed);
+}
+
+TEST_F(exchange_client_test, TakesTheAnswerToHeadWithALengthAboveTheLimit)
+{
+    m_server.script = { { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n" } };
+    std::optional<exchange_outcome> outcome;
+    m_client.start(
+        m_server.address(), opaque_request { "HEAD", "/", {}, "" }, [](const opaque_response&) { return true; },
+        [&outcome](exchange_outcome received) { outcome = std::move(received); });
+    ASSERT_TRUE(m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 }));
+    EXPECT_TRUE(std::holds_alternative<opaque_response>(*outcome));
+}
+
 // A request may be reported as not executed only if none of its bytes were written.
 TEST_F(exchange_client_test, TellsThatNothingWasWrittenWithoutAConnection)
 {
