Limit responses without end, one by one and together

An upstream that sends bytes without end, in a head or a body, could make its node run out of memory, which ends all requests of that node, or hold a request until its deadline. Causes: Beast's parsers have no limit for a chunk header or a trailer; interim responses and responses to other requests were skipped without end; and a body might grow to 64 MiB for each request in progress, while a node has 160 MB and more.

The limit of a header section now also holds for a chunk header, a trailer and all interim responses together, the ninth response to another request ends the exchange, and the bodies in progress are limited together: beyond that the longest one fails, since that is the one without end. The limits follow from the memory of the process, the new setting memory_mb: an eighth for one response, a quarter for those in progress, three eighths for what is held for clients (96 MiB of 256, as before).

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -17,6 +17,7 @@
 // Clients stop using a node after two consecutive failed health checks, at one check per second.
 static constexpr milliseconds healthCheckRemovalTime { 2300 };
 static constexpr milliseconds exitMargin { 400 };
+static constexpr std::size_t bytesPerMiB = std::size_t { 1024 } * 1024;
 
 [[nodiscard]] static peer_hub_settings makeHubSettings(const gateway_settings& settings)
 {
@@ -25,6 +26,23 @@
     return hub;
 }
 
+// A response that is passed on exists up to four times for a moment: as received, as serialized and in the buffers of
+// the sender. So one response may take an eighth of the memory, and all that are being received a quarter.
+[[nodiscard]] static exchange_client_settings makeExchangeSettings(std::size_t memoryMiB)
+{
+    exchange_client_settings settings;
+    settings.limits.maxBodyBytes = std::min(settings.limits.maxBodyBytes, memoryMiB * bytesPerMiB / 8);
+    settings.maxBufferedBytes = memoryMiB * bytesPerMiB / 4;
+    return settings;
+}
+
+[[nodiscard]] static pipelined_server_limits makeServerLimits(std::size_t memoryMiB)
+{
+    pipelined_server_limits limits;
+    limits.maxBufferedBytes = memoryMiB * bytesPerMiB * 3 / 8;
+    return limits;
+}
+
 [[nodiscard]] static opaque_response makeResponse(
     int status, std::string_view kind, std::string_view message, milliseconds retryAfter)
 {
@@ -67,7 +85,7 @@
     , m_requestLog { "requests" }
     , m_core { settings.gateway, charts.upstream, formatHostPort(settings.announcedPeers.value_or(settings.peers)),
         incarnation }
-    , m_server { loop, pipelined_server_limits {},
+    , m_server { loop, internal::makeServerLimits(settings.memoryMiB),
         { [this](std::uint64_t number, opaque_request request) { onRequest(number, std::move(request)); },
             [this](std::uint64_t number) {
                 m_arrivalTimes.erase(number);
@@ -78,7 +96,7 @@
                 const std::string_view kind = fault.status == overloaded ? "overloaded" : "invalid_request";
                 return internal::makeResponse(fault.status, kind, fault.message, {});
             } } }
-    , m_upstream { loop, exchange_client_settings {} }
+    , m_upstream { loop, internal::makeExchangeSettings(settings.memoryMiB) }
     , m_hub { loop, settings.gateway.node, charts.peerLink, internal::makeHubSettings(settings.gateway),
         { [this] { return m_core.makeHello(); }, [this](node_event event) { onPeerEvent(std::move(event)); },
             [this](const write_log& line) { m_log.write(line); },
@@ -243,7 +261,7 @@
 
 void gateway_runtime::perform(apply_limits& action)
 {
-    pipelined_server_limits limits;
+    pipelined_server_limits limits = internal::makeServerLimits(m_settings.memoryMiB);
     limits.message.maxHeaderBytes = action.limits.maxHeaderBytes;
     limits.message.maxBodyBytes = action.limits.maxBodyBytes;
     limits.headerTime = action.limits.headerTime;
@@ -307,7 +325,9 @@
         { "held_bytes", m_server.bufferedBytes() } };
     values["exchanges"] = { { "connections_opened", m_upstream.counters().openedConnections },
         { "foreign_responses", m_upstream.counters().mismatchedResponses },
-        { "surplus_bytes", m_upstream.counters().unsolicitedData } };
+        { "surplus_bytes", m_upstream.counters().unsolicitedData },
+        { "oversized_responses", m_upstream.counters().oversizedResponses },
+        { "held_bytes", m_upstream.bufferedBytes() } };
     nlohmann::json sent = nlohmann::json::object();
     for (const std::pair<const std::string_view, sent_message_counts>& item : m_hub.sentByKind())
         sent[std::string { item.first }] = { { "messages", item.second.messages }, { "bytes", item.second.bytes },
--- a/src/knapweedcroft/http/exchange_client.cpp
+++ b/src/knapweedcroft/http/exchange_client.cpp
@@ -16,6 +16,13 @@
 
 namespace knapweedcroft {
 
+namespace internal {
+
+// A server may answer an earlier request late; one that keeps sending such responses has no answer to come.
+static constexpr std::size_t maxMismatchedResponses = 8;
+
+} // namespace internal
+
 class exchange_client::connection {
 public:
     connection(exchange_client& client, std::string address)
@@ -32,6 +39,7 @@
 
     [[nodiscard]] const std::string& address() const noexcept { return m_address; }
     [[nodiscard]] std::uint64_t exchangeId() const noexcept { return m_exchangeId; }
+    [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_bufferedBytes; }
     [[nodiscard]] completion_handler takeCompletionHandler() { return std::move(m_onDone); }
 
     void begin(
@@ -41,6 +49,7 @@
         m_isMatch = std::move(isMatch);
         m_onDone = std::move(onDone);
         m_isHead = request.method == "HEAD";
+        m_mismatchedResponses = 0;
         m_parser = std::make_unique<response_parser>(m_client.m_settings.limits, m_isHead);
         m_timer.stop();
         const std::string text = serialize(request);
@@ -51,9 +60,16 @@
             connectAndSend(text);
     }
 
+    void failOversized(std::string message)
+    {
+        ++m_client.m_counters.oversizedResponses;
+        fail(error_kind::connection_failed, std::move(message));
+    }
+
     void disconnect()
     {
         m_isClosed = true;
+        setBufferedBytes(0);
         m_timer.stop();
         if (!m_stream)
             return;
@@ -137,24 +153,43 @@
             const char* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
             const std::size_t consumed = m_parser->put({ bytes, length });
             evbuffer_drain(input, consumed);
+            if (m_parser->isTooLarge()) {
+                failOversized(m_parser->fault()->message);
+                return;
+            }
             if (m_parser->fault()) {
                 fail(error_kind::connection_failed, m_parser->fault()->message);
                 return;
             }
-            if (m_parser->isDone())
+            if (m_parser->isDone()) {
                 complete();
-            else if (consumed == 0)
+                continue;
+            }
+            setBufferedBytes(m_parser->bodySize());
+            m_client.enforceBufferLimit();
+            if (consumed == 0)
                 return;
         }
     }
 
+    void setBufferedBytes(std::size_t bytes)
+    {
+        m_client.m_bufferedBytes = m_client.m_bufferedBytes - m_bufferedBytes + bytes;
+        m_bufferedBytes = bytes;
+    }
+
     void complete()
     {
         const bool isKeepAlive = m_parser->isKeepAlive();
         const std::optional<int> seconds = m_parser->keepAliveSeconds();
         opaque_response response = m_parser->take();
+        setBufferedBytes(0);
         if (!m_isMatch(response)) {
             ++m_client.m_counters.mismatchedResponses;
+            if (++m_mismatchedResponses > internal::maxMismatchedResponses) {
+                failOversized("the server keeps sending responses to other requests");
+                return;
+            }
             if (!isKeepAlive) {
                 fail(error_kind::connection_failed, "connection closed after a response to a different request");
                 return;
@@ -241,6 +276,8 @@
     completion_handler m_onDone;
     milliseconds m_idleTimeout;
     std::uint64_t m_exchangeId = 0;
+    std::size_t m_bufferedBytes = 0;
+    std::size_t m_mismatchedResponses = 0;
     bool m_isHead = false;
     bool m_isConnected = false;
     bool m_hasWritten = false;
@@ -308,6 +345,19 @@
     onDone(std::move(outcome));
 }
 
+void exchange_client::enforceBufferLimit()
+{
+    if (m_bufferedBytes <= m_settings.maxBufferedBytes)
+        return;
+    using item_type = std::pair<const std::uint64_t, std::unique_ptr<connection>>;
+    const auto largest
+        = std::max_element(m_active.begin(), m_active.end(), [](const item_type& lhs, const item_type& rhs) {
+              return lhs.second->bufferedBytes() < rhs.second->bufferedBytes();
+          });
+    largest->second->failOversized("the responses in progress exceed " + std::to_string(m_settings.maxBufferedBytes)
+        + " bytes, most of them of this one");
+}
+
 void exchange_client::removeIdle(connection& ended)
 {
     connection_list& idle = m_idle[ended.address()];
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -28,6 +28,9 @@
 /** @brief Settings of an exchange client. */
 struct exchange_client_settings {
     message_limits limits { std::size_t { 64 } * 1024, std::size_t { 64 } * 1024 * 1024 };
+    /** @brief Body bytes of all responses in progress. Beyond it the exchange that holds most of them fails, since a
+     * server that sends without end has the longest response. */
+    std::size_t maxBufferedBytes = std::size_t { 64 } * 1024 * 1024;
     milliseconds connectTimeout { 1000 }; /*!< Timeout for opening a connection. */
     /** @brief Idle connections are closed after this, or earlier if the server advertises a shorter timeout. */
     milliseconds idleTimeout { 4000 };
@@ -39,14 +42,16 @@
     std::uint64_t openedConnections = 0;
     std::uint64_t mismatchedResponses = 0; /*!< Responses to a different request, discarded. */
     std::uint64_t unsolicitedData = 0; /*!< Connections closed because of data outside a response. */
+    std::uint64_t oversizedResponses = 0; /*!< Exchanges that failed because of a size limit. */
 };
 
 /**
  * @brief HTTP/1.1 client with persistent connections and one request at a time on each connection.
  *
  * Requests are never retried. A response that the caller's predicate rejects is discarded, and the client waits for the
- * next one on the connection. A connection is closed instead of reused if it carries data outside a response, if the
- * response arrived before the whole request was written, or if its exchange was cancelled.
+ * next one on the connection, but fails the exchange after several of them. A connection is closed instead of reused if
+ * it carries data outside a response, if the response arrived before the whole request was written, or if its exchange
+ * was cancelled.
  */
 class exchange_client {
 public:
@@ -83,6 +88,9 @@
      */
     void cancel(std::uint64_t exchangeId);
 
+    /** @brief Returns the body bytes of all responses in progress. */
+    [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_bufferedBytes; }
+
     [[nodiscard]] const exchange_counters& counters() const noexcept { return m_counters; }
 
 private:
@@ -93,12 +101,14 @@
     void finish(connection& ended, exchange_outcome outcome, bool isReusable);
     void removeIdle(connection& ended);
     void closeAndRelease(std::unique_ptr<connection> unused);
+    void enforceBufferLimit();
 
     event_loop& m_loop;
     exchange_client_settings m_settings;
     std::unordered_map<std::uint64_t, std::unique_ptr<connection>> m_active;
     std::unordered_map<std::string, connection_list> m_idle;
     exchange_counters m_counters;
+    std::size_t m_bufferedBytes = 0;
     std::shared_ptr<bool> m_isAlive;
     std::uint64_t m_lastExchangeId = 0;
 };
--- a/src/knapweedcroft/http/internal/framing.cpp
+++ b/src/knapweedcroft/http/internal/framing.cpp
@@ -85,7 +85,6 @@
         return true;
     const std::size_t end = findHeaderEnd(bytes);
     if (std::min(end, bytes.size()) > limits.maxHeaderBytes) {
-        constexpr int headerFieldsTooLarge = 431;
         fault = parse_error { headerFieldsTooLarge, "the header exceeds the limit in bytes; send less" };
         return false;
     }
--- a/src/knapweedcroft/http/internal/framing.hpp
+++ b/src/knapweedcroft/http/internal/framing.hpp
@@ -11,6 +11,9 @@
 
 namespace knapweedcroft::internal {
 
+/** @brief HTTP status for a header section, chunk header or trailer above the limit. */
+inline constexpr int headerFieldsTooLarge = 431;
+
 /** @brief HTTP status for a body above the limit. */
 inline constexpr int contentTooLarge = 413;
 
@@ -47,6 +50,18 @@
     bool m_isValid = false;
 };
 
+/**
+ * @brief Checks bytes that the parser has left unread.
+ * @param unreadBytes Bytes of an incomplete message that the parser needs more of: of a chunk header or trailer, for
+ * which Beast's parser has no limit.
+ * @param limits Size limits of the message.
+ * @return Whether the message is to be refused.
+ */
+[[nodiscard]] inline bool exceedsLimit(std::size_t unreadBytes, const message_limits& limits)
+{
+    return unreadBytes > limits.maxHeaderBytes;
+}
+
 /** @brief Converts Beast's header fields to names and values, in order. */
 [[nodiscard]] http_headers copyHeaders(const boost::beast::http::fields& fields);
 
--- a/src/knapweedcroft/http/request_parser.cpp
+++ b/src/knapweedcroft/http/request_parser.cpp
@@ -41,6 +41,9 @@
         m_fault = parse_error { internal::contentTooLarge, "the body exceeds the limit in bytes; send less" };
     else if (parseResult && parseResult != http::error::need_more)
         m_fault = parse_error { 400, "not a valid HTTP/1.1 request: " + parseResult.message() };
+    else if (!isDone() && internal::exceedsLimit(bytes.size() - consumed, self.limits))
+        m_fault = parse_error { internal::headerFieldsTooLarge,
+            "a chunk header or trailer exceeds the limit in bytes; send less" };
     return consumed;
 }
 
--- a/src/knapweedcroft/http/response_parser.cpp
+++ b/src/knapweedcroft/http/response_parser.cpp
@@ -41,18 +41,29 @@
 
 std::size_t response_parser::put(std::string_view bytes)
 {
-    if (!m_implementation->headerValidator.validate(bytes, m_limits, m_fault))
+    if (!m_implementation->headerValidator.validate(bytes, m_limits, m_fault)) {
+        m_isTooLarge = m_fault
+            && (m_fault->status == internal::headerFieldsTooLarge || m_fault->status == internal::contentTooLarge);
         return 0;
+    }
     boost::system::error_code parseResult;
     const std::size_t consumed
         = m_implementation->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), parseResult);
     if (parseResult && parseResult != http::error::need_more) {
         m_fault = parse_error { 502, "not a valid HTTP/1.1 response: " + parseResult.message() };
+        m_isTooLarge = parseResult == http::error::body_limit;
         return consumed;
     }
     constexpr int firstFinalStatus = 200;
-    if (isDone() && m_implementation->parser.get().result_int() < firstFinalStatus)
+    if (isDone() && m_implementation->parser.get().result_int() < firstFinalStatus) {
+        m_interimBytes += consumed;
+        m_isTooLarge = m_interimBytes > m_limits.maxHeaderBytes;
         reset();
+    } else if (!isDone()) {
+        m_isTooLarge = internal::exceedsLimit(bytes.size() - consumed, m_limits);
+    }
+    if (m_isTooLarge)
+        m_fault = parse_error { 502, "the response has more bytes beside its body than the header limit allows" };
     return consumed;
 }
 
@@ -70,6 +81,8 @@
 
 bool response_parser::isDone() const { return m_implementation->parser.is_done(); }
 
+std::size_t response_parser::bodySize() const { return m_implementation->parser.get().body().size(); }
+
 bool response_parser::isKeepAlive() const
 {
     return m_implementation->parser.keep_alive() && !m_implementation->parser.need_eof();
--- a/src/knapweedcroft/http/response_parser.hpp
+++ b/src/knapweedcroft/http/response_parser.hpp
@@ -15,7 +15,8 @@
 public:
     /**
      * @brief Constructs a parser for one response.
-     * @param limits Size limits of the response.
+     * @param limits Size limits of the response. The header limit also holds for all interim responses together and for
+     * a chunk header or trailer.
      * @param isHeadResponse True if the request was HEAD, whose response has no body.
      */
     response_parser(const message_limits& limits, bool isHeadResponse);
@@ -35,6 +36,12 @@
     /** @brief Returns the error, if the response is invalid. */
     [[nodiscard]] const std::optional<parse_error>& fault() const noexcept { return m_fault; }
 
+    /** @brief Returns whether the error is that a size limit is exceeded. */
+    [[nodiscard]] bool isTooLarge() const noexcept { return m_isTooLarge; }
+
+    /** @brief Returns the number of body bytes received so far. */
+    [[nodiscard]] std::size_t bodySize() const;
+
     /** @brief Returns whether the connection may be reused. */
     [[nodiscard]] bool isKeepAlive() const;
 
@@ -51,8 +58,10 @@
 
     message_limits m_limits;
     bool m_isHeadResponse;
+    std::size_t m_interimBytes = 0; /*!< Size of the interim responses so far. */
     std::unique_ptr<implementation> m_implementation;
     std::optional<parse_error> m_fault;
+    bool m_isTooLarge = false;
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.cpp
@@ -105,6 +105,10 @@
             section.integer("shared_reading_from", 0, maxGroupSize, static_cast<std::int64_t>(reads.minGroupSize)));
         reads.changeDeadline = internal::readDurationText(section, "change_deadline", reads.changeDeadline);
     });
+    constexpr std::int64_t minMemoryMiB = 64;
+    constexpr std::int64_t maxMemoryMiB = std::int64_t { 1024 } * 1024;
+    settings.memoryMiB = static_cast<std::size_t>(
+        reader.integer("memory_mb", minMemoryMiB, maxMemoryMiB, static_cast<std::int64_t>(settings.memoryMiB)));
     settings.grace = internal::readDurationText(reader, "grace", settings.grace);
     settings.chartsDirectory = reader.string("charts", settings.chartsDirectory);
     const std::string level = reader.string("log_level", "info");
--- a/src/knapweedcroft/settings/gateway_program_settings.hpp
+++ b/src/knapweedcroft/settings/gateway_program_settings.hpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -23,6 +24,7 @@
     std::optional<host_port> announcedPeers; /*!< Address for links announced to other nodes, if not `peers`. */
     std::optional<host_port> metrics; /*!< Listening address for metrics, as text. */
     std::string store; /*!< `host:port` of the platform's store. */
+    std::size_t memoryMiB = 256; /*!< Memory that the process may use; the sizes of its buffers follow from it. */
     milliseconds grace { 6000 }; /*!< Time from the stop signal to the end of the process. */
     std::string chartsDirectory = "charts";
     log_settings logging;
--- a/test/knapweedcroft/http/exchange_client.cpp
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -226,4 +227,76 @@
     EXPECT_TRUE(m_loop.runUntil([this] { return m_server.closed == 1; }, milliseconds { 5000 }));
 }
 
+struct endless_response {
+    const char* name;
+    std::string head;
+    std::string repeated;
+};
+
+// Guards against a process that runs out of memory, or reads until the deadline of a request, because a server sends
+// bytes without end.
+TEST_F(exchange_client_test, ClosesConnectionsOfEndlessResponses)
+{
+    const std::string filler(std::size_t { 16 } * 1024, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<endless_response> rows { { "bytes that are no response", "", filler },
+        { "status line", "HTTP/1.1 200 ", filler }, { "header lines", "HTTP/1.1 200 OK\r\n", "A: " + filler + "\r\n" },
+        { "empty lines", "\r\n", std::string(1024, '\n') },
+        { "interim responses", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "responses to other requests", response("other", ""), response("other", "") },
+        { "body without a length", "HTTP/1.1 200 OK\r\n\r\n", filler },
+        { "body with a length above the limit", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", filler },
+        { "chunks", chunked, "4000\r\n" + filler + "\r\n" }, { "chunk size", chunked, "0" },
+        { "chunk extension", chunked + "4;", filler }, { "trailer", chunked + "0\r\n", "A: " + filler + "\r\n" } };
+    exchange_client_settings settings;
+    settings.limits.maxBodyBytes = std::size_t { 1024 } * 1024;
+    for (const endless_response& row : rows) {
+        endless_server server { m_loop, row.head, row.repeated };
+        exchange_client client { m_loop, settings };
+        std::optional<exchange_outcome> outcome;
+        client.start(
+            server.address(), opaque_request { "GET", "/", {}, "" },
+            [](const opaque_response& received) { return !findHeader(received.headers, "Id"); },
+            [&outcome](exchange_outcome received) { outcome = std::move(received); });
+        EXPECT_TRUE(m_loop.runUntil([&server] { return server.closed == 1; }, milliseconds { 5000 })) << row.name;
+        EXPECT_TRUE(outcome && std::holds_alternative<exchange_failure>(*outcome)) << row.name;
+        EXPECT_EQ(client.bufferedBytes(), 0U) << row.name;
+    }
+}
+
+// Guards against endless responses that stay below the limit of one response but together exceed the memory.
+TEST_F(exchange_client_test, LimitsTheBytesOfAllResponsesTogether)
+{
+    constexpr std::size_t count = 8;
+    exchange_client_settings settings;
+    settings.maxBufferedBytes = std::size_t { 2 } * 1024 * 1024;
+    exchange_client client { m_loop, settings };
+    endless_server server { m_loop, "HTTP/1.1 200 OK\r\n\r\n", std::string(std::size_t { 16 } * 1024, 'x') };
+    std::size_t failures = 0;
+    std::size_t maxBufferedBytes = 0;
+    for (std::size_t number = 0; number < count; ++number) {
+        client.start(
+            server.address(), opaque_request { "GET", "/", {}, "" }, [](const opaque_response&) { return true; },
+            [&failures](const exchange_outcome& outcome) {
+                failures += std::holds_alternative<exchange_failure>(outcome) ? 1U : 0U;
+            });
+    }
+    std::optional<exchange_outcome> proper;
+    m_server.script = { { response("1", std::string(std::size_t { 64 } * 1024, 'y')) } };
+    client.start(
+        m_server.address(), opaque_request { "GET", "/", { { "Id", "1" } }, "" },
+        [](const opaque_response&) { return true; },
+        [&proper](exchange_outcome received) { proper = std::move(received); });
+    EXPECT_TRUE(m_loop.runUntil(
+        [&] {
+            maxBufferedBytes = std::max(maxBufferedBytes, client.bufferedBytes());
+            return failures == count && proper.has_value();
+        },
+        milliseconds { 10'000 }));
+    EXPECT_LE(maxBufferedBytes, settings.maxBufferedBytes);
+    EXPECT_EQ(client.counters().oversizedResponses, count);
+    ASSERT_TRUE(proper);
+    EXPECT_TRUE(std::holds_alternative<opaque_response>(*proper));
+}
+
 } // namespace knapweedcroft
--- a/test/knapweedcroft/net/test_servers.hpp
+++ b/test/knapweedcroft/net/test_servers.hpp
@@ -57,6 +57,49 @@
     std::unique_ptr<evconnlistener, listener_deleter> m_listener;
 };
 
+/** @brief Sends the beginning of a response and then repeats a text until the client closes the connection. */
+class endless_server : public test_listener {
+public:
+    endless_server(event_loop& loop, std::string head, std::string repeated)
+        : test_listener { loop }
+        , m_head { std::move(head) }
+        , m_repeated { std::move(repeated) }
+    {
+    }
+
+    std::size_t accepted = 0;
+    std::size_t closed = 0;
+
+protected:
+    void accept(evutil_socket_t socket) override
+    {
+        ++accepted;
+        m_streams.push_back(makeStream(socket));
+        bufferevent* stream = m_streams.back().get();
+        bufferevent_setcb(stream, nullptr, &endless_server::onWritten, &endless_server::onEvent, this);
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        bufferevent_write(stream, m_head.data(), m_head.size());
+    }
+
+private:
+    static void onWritten(bufferevent* stream, void* argument)
+    {
+        const endless_server& self = *static_cast<endless_server*>(argument);
+        bufferevent_write(stream, self.m_repeated.data(), self.m_repeated.size());
+    }
+
+    static void onEvent(bufferevent* stream, short, void* argument)
+    {
+        ++static_cast<endless_server*>(argument)->closed;
+        bufferevent_disable(stream, EV_READ | EV_WRITE);
+        bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
+    }
+
+    std::string m_head;
+    std::string m_repeated;
+    std::vector<stream_owner> m_streams;
+};
+
 /** @brief TCP proxy in front of a target, with fault injection. */
 class test_relay : public test_listener {
 public:
--- a/test/knapweedcroft/process/test_process.cpp
+++ b/test/knapweedcroft/process/test_process.cpp
@@ -125,6 +125,16 @@
     return true;
 }
 
+std::size_t test_process::residentBytes() const
+{
+    // The second field of the file is the number of resident pages.
+    std::ifstream file { "/proc/" + std::to_string(m_pid) + "/statm" };
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 std::string test_process::output() const { return internal::readFile(m_output); }
 
 std::string test_process::errors() const { return internal::readFile(m_errors); }
--- a/test/knapweedcroft/process/test_process.hpp
+++ b/test/knapweedcroft/process/test_process.hpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -55,6 +56,9 @@
     /** @brief Returns the exit status once hasEnded() has returned true; -1 if a signal ended the process. */
     [[nodiscard]] int exitStatus() const noexcept { return m_exitStatus; }
 
+    /** @brief Returns the resident memory of the process in bytes; 0 if it has ended. */
+    [[nodiscard]] std::size_t residentBytes() const;
+
     /** @brief Returns the content of standard output. */
     [[nodiscard]] std::string output() const;
 
--- a/test/knapweedcroft/settings/gateway_program_settings.cpp
+++ b/test/knapweedcroft/settings/gateway_program_settings.cpp
@@ -34,6 +34,16 @@
     EXPECT_EQ(valueOf(settings).gateway.upstreamSilence, milliseconds { 5000 });
 }
 
+// Guards against a node whose buffers may outgrow the memory of its host.
+TEST(GatewayProgramSettings, TakesTheMemoryLimit)
+{
+    nlohmann::json document = validSettings();
+    document["memory_mb"] = 160;
+    const result<gateway_program_settings> settings = readGatewaySettings(document, "settings");
+    ASSERT_TRUE(hasValue(settings)) << errorOf(settings).message;
+    EXPECT_EQ(valueOf(settings).memoryMiB, 160U);
+}
+
 // Guards against IPv6 addresses that lose their brackets: they cannot be parsed again, so every request to such an
 // upstream would fail.
 TEST(GatewayProgramSettings, KeepsTheBracketsOfAnIpv6Address)
--- a/test/platform/boundary.cpp
+++ b/test/platform/boundary.cpp
@@ -58,7 +58,8 @@
         { "{{Platform.Address|json}}", "\"10.0.0.2:5\"" }, { "{{Bounds.RetryBudgetRatio}}", "0.2" },
         { "{{Bounds.RetryBudgetSlack}}", "49" }, { "{{Bounds.BudgetWindow|json}}", "\"10s\"" },
         { "{{Bounds.Grace|json}}", "\"6s\"" }, { "{{#Bounds.ConfigApply}}", "" }, { "{{/Bounds.ConfigApply}}", "" },
-        { "{{Bounds.ConfigApply|json}}", "\"2500ms\"" } };
+        { "{{Bounds.ConfigApply|json}}", "\"2500ms\"" }, { "{{#Limits.MemoryMb}}", "" }, { "{{/Limits.MemoryMb}}", "" },
+        { "{{Limits.MemoryMb}}", "160" } };
     for (const std::pair<std::string, std::string>& substitution : substitutions) {
         for (std::size_t position = text.find(substitution.first); position != std::string::npos;
              position = text.find(substitution.first))
@@ -82,6 +83,7 @@
         EXPECT_EQ(valueOf(settings).gateway.node, "n");
         EXPECT_EQ(valueOf(settings).grace, milliseconds { 6000 });
         EXPECT_EQ(valueOf(settings).peers.port, 7620);
+        EXPECT_EQ(valueOf(settings).memoryMiB, 160U);
         EXPECT_EQ(valueOf(settings).gateway.storeReads.changeDeadline, milliseconds { 2500 });
     }
 }
