Kill processes in the soak again, and keep its runs apart

Kills now also hit nodes that are stopping or starting, and a process that ends by itself is a violation.

--- a/test/knapweedcroft/net/test_servers.hpp
+++ b/test/knapweedcroft/net/test_servers.hpp
@@ -19,10 +19,11 @@
 /** @brief Accepts TCP connections on a loopback port and passes them to a subclass. */
 class test_listener {
 public:
-    explicit test_listener(event_loop& loop)
+    /** @brief Listens on an ephemeral port of a loopback address. */
+    explicit test_listener(event_loop& loop, const std::string& host = "127.0.0.1")
         : m_loop { loop }
     {
-        const bound_socket bound = valueOf(bindSocket("127.0.0.1", 0));
+        const bound_socket bound = valueOf(bindSocket(host, 0));
         m_address = bound.address;
         const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
             static_cast<test_listener*>(self)->accept(socket);
--- a/test/platform/soak/fault_relay.hpp
+++ b/test/platform/soak/fault_relay.hpp
@@ -4,6 +4,7 @@
 #include "knapweedcroft/net/event_loop.hpp"
 #include "knapweedcroft/net/test_servers.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,8 +32,14 @@
  */
 class fault_relay : public test_listener {
 public:
-    fault_relay(event_loop& loop, std::string target)
-        : test_listener { loop }
+    /**
+     * @brief Starts listening.
+     * @param host Loopback address of this run; on a shared one, nodes that a crashed run left behind could reach the
+     * relay at a port that their own relays had.
+     * @param target `host:port` to which connections are forwarded.
+     */
+    fault_relay(event_loop& loop, const std::string& host, std::string target)
+        : test_listener { loop, host }
         , m_target { std::move(target) }
         , m_resumeTimer { loop, [this] { resumeReading(); } }
     {
@@ -83,10 +90,17 @@
         stream_owner client; // Connection to the client.
         stream_owner target; // Connection to the target.
         bool isSilenced = false; // All bytes are discarded.
+        bool hasClientEnded = false;
+        bool hasTargetEnded = false;
+
+        // Silenced connections do not tell the target that the client has gone.
+        [[nodiscard]] bool hasEnded() const { return hasClientEnded && (hasTargetEnded || isSilenced); }
     };
 
     void accept(evutil_socket_t socket) override
     {
+        const auto hasEnded = [](const std::unique_ptr<connection_pair>& item) { return item->hasEnded(); };
+        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(), hasEnded), m_connections.end());
         std::unique_ptr<connection_pair> added = std::make_unique<connection_pair>();
         added->relay = this;
         added->isSilenced = m_mode == relay_mode::silenced;
@@ -144,8 +158,11 @@
 
     static void onEvent(bufferevent* stream, short what, void* argument)
     {
-        const connection_pair& item = *static_cast<connection_pair*>(argument);
-        if (item.isSilenced || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+        connection_pair& item = *static_cast<connection_pair*>(argument);
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+            return;
+        (stream == item.client.get() ? item.hasClientEnded : item.hasTargetEnded) = true;
+        if (item.isSilenced)
             return;
         shutdown(bufferevent_getfd((stream == item.client.get() ? item.target : item.client).get()), SHUT_WR);
     }
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -1,8 +1,11 @@
 #include "soak/soak_run.hpp"
 
+#include "soak/fault_effects.hpp"
+
 #include <algorithm>
 #include <csignal>
 #include <iomanip>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -49,57 +52,6 @@
         { "TargetLatency", "400ms" }, { "Priority", entry.isIdempotent ? 1 : 0 } };
 }
 
-[[nodiscard]] static bool isNodeFault(fault_kind kind)
-{
-    constexpr std::array<fault_kind, 5> kinds { fault_kind::node_kill, fault_kind::node_freeze, fault_kind::node_stop,
-        fault_kind::kill_all, fault_kind::kill_some };
-    return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
-}
-
-[[nodiscard]] static std::optional<relay_mode> linkMode(fault_kind kind)
-{
-    switch (kind) {
-    case fault_kind::links_silent:
-        return relay_mode::stalled;
-    case fault_kind::links_one_way:
-        return relay_mode::answers_stalled;
-    case fault_kind::links_reset:
-        return relay_mode::resetting;
-    case fault_kind::links_slow:
-        return relay_mode::slow;
-    default:
-        return std::nullopt;
-    }
-}
-
-[[nodiscard]] static std::optional<relay_mode> storeMode(fault_kind kind)
-{
-    switch (kind) {
-    case fault_kind::store_refusing:
-    case fault_kind::store_away_refusing:
-    case fault_kind::data_centre_turned_away:
-        return relay_mode::resetting;
-    case fault_kind::store_silent:
-        return relay_mode::stalled;
-    case fault_kind::store_slow:
-        return relay_mode::slow;
-    case fault_kind::store_answers_lost:
-        return relay_mode::answers_stalled;
-    case fault_kind::store_away:
-        return relay_mode::silenced;
-    default:
-        return std::nullopt;
-    }
-}
-
-// Outages of the store and nodes turned away are recorded apart, since they extend the deadline of a change.
-[[nodiscard]] static bool disturbsNode(fault_kind kind)
-{
-    constexpr std::array<fault_kind, 4> storeFaults { fault_kind::store_refusing, fault_kind::store_silent,
-        fault_kind::store_slow, fault_kind::store_answers_lost };
-    return linkMode(kind) || std::find(storeFaults.begin(), storeFaults.end(), kind) != storeFaults.end();
-}
-
 } // namespace internal
 
 [[nodiscard]] static soak_entry entryOfVersion(std::int64_t version)
@@ -146,8 +98,8 @@
     host->node = host->service + "-" + host->data_centre + "-" + std::to_string(number);
     host->number = number;
     host->ip = m_network + std::to_string(number + 1);
-    host->links = std::make_unique<fault_relay>(m_loop, formatHostPort({ host->ip, internal::peerPort }));
-    host->store = std::make_unique<fault_relay>(m_loop, m_store->address());
+    host->links = std::make_unique<fault_relay>(m_loop, host->ip, formatHostPort({ host->ip, internal::peerPort }));
+    host->store = std::make_unique<fault_relay>(m_loop, host->ip, m_store->address());
     const full_behaviour onFull = host->service == "stock" ? full_behaviour::hang : full_behaviour::shed;
     const upstream_location location { host->node, host->service, host->data_centre,
         { host->ip, internal::upstreamPort }, formatHostPort({ host->ip, internal::controlPort }),
@@ -240,7 +192,8 @@
     for (const std::unique_ptr<soak_host>& host : m_hosts) {
         if (host->state == process_state::starting && !host->isReadinessPending)
             checkReadiness(*host);
-        if (host->state == process_state::stopping && host->process->hasEnded())
+        const bool mustRun = host->state == process_state::starting || host->state == process_state::running;
+        if ((mustRun || host->state == process_state::stopping) && host->process->hasEnded())
             handleNodeExit(*host);
     }
 }
@@ -279,8 +232,10 @@
 // Requests sent before the signal must be answered; later ones may have found the connection closed.
 void soak_run::handleNodeExit(soak_host& host)
 {
-    if (host.process->exitStatus() != 0)
-        m_violations.push_back(host.node + ": ended with status " + std::to_string(host.process->exitStatus()));
+    if (host.state != process_state::stopping || host.process->exitStatus() != 0) {
+        m_violations.push_back(host.node + ": ended with status " + std::to_string(host.process->exitStatus())
+            + (host.state == process_state::stopping ? "" : " by itself") + ", " + host.process->errors());
+    }
     startNode(host);
 }
 
@@ -288,11 +243,14 @@
 
 void soak_run::beginNodeFault(fault_kind kind, soak_host& host)
 {
+    if (isKill(kind)) {
+        if (host.process)
+            killNode(host);
+        return;
+    }
     if (host.state != process_state::running)
         return;
-    if (kind == fault_kind::node_kill) {
-        killNode(host);
-    } else if (kind == fault_kind::node_freeze) {
+    if (kind == fault_kind::node_freeze) {
         m_ledger.exemptOpenRequests(host.node);
         m_ledger.setDisturbed(host.node, true);
         host.process->signal(SIGSTOP);
@@ -320,7 +278,7 @@
 {
     host.settings["grace"] = std::to_string(internal::graceMs + ++m_reloads) + "ms";
     host.settingsPath = m_folder.write(host.node + ".json", host.settings.dump());
-    if (host.state == process_state::running)
+    if (host.state == process_state::running || host.state == process_state::stopping)
         host.process->signal(SIGHUP);
 }
 
@@ -349,7 +307,7 @@
     for (const std::unique_ptr<soak_host>& host : m_hosts) {
         if (!isAffected(fault, *host))
             continue;
-        if (internal::isNodeFault(fault.kind))
+        if (isNodeFault(fault.kind))
             beginNodeFault(fault.kind, *host);
         if (fault.kind == fault_kind::upstream_crash)
             host->upstream->crash();
@@ -379,7 +337,7 @@
     for (const std::unique_ptr<soak_host>& host : m_hosts) {
         if (!isAffected(fault, *host))
             continue;
-        if (!isUnder(*host, internal::isNodeFault))
+        if (!isUnder(*host, &isNodeFault))
             endNodeFault(*host);
         if (!isUnder(*host, [](fault_kind kind) { return kind == fault_kind::upstream_crash; }))
             host->upstream->start();
@@ -421,8 +379,8 @@
     for (const planned_fault& fault : m_activeFaults) {
         if (!isAffected(fault, host))
             continue;
-        links = internal::linkMode(fault.kind).value_or(links);
-        store = internal::storeMode(fault.kind).value_or(store);
+        links = linkMode(fault.kind).value_or(links);
+        store = storeMode(fault.kind).value_or(store);
         serviceTimeFactor = fault.kind == fault_kind::upstream_slow ? internal::slowFactor : serviceTimeFactor;
         dropsResponses = dropsResponses || fault.kind == fault_kind::upstream_answers_lost;
     }
@@ -437,7 +395,7 @@
 
 void soak_run::updateDisturbance(soak_host& host)
 {
-    const bool isDisturbed = host.state != process_state::running || isUnder(host, internal::disturbsNode);
+    const bool isDisturbed = host.state != process_state::running || isUnder(host, &disturbsNode);
     m_configurationLedger.setDisturbed(host.node, isDisturbed, m_clock.now());
 }
 
