Log the first answer of the store apart from its return

In the record of the real processes each node has store_regained with catalogue -1, which reads as a node that lost its catalogue in an outage. It is the first answer to a process that has just started: on it is logged before the records of that answer are applied. A process now logs store_reached for it, and store_regained tells how long the store was away, so that a late configuration can be related to an outage. LogsTheFirstAnswerOfTheStoreApartFromItsReturn failed before (no such event).

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -345,10 +345,19 @@
         m_readElection.recordOwnRead(false, m_now);
     if (m_isStoreAvailable == event.isAvailable)
         return;
+    const bool isFirst = !m_isStoreAvailable.has_value();
     m_isStoreAvailable = event.isAvailable;
     m_catchUp.setStoreAvailable(event.isAvailable, m_now);
-    actions.emplace_back(internal::makeLogLine(log_level::warning, event.isAvailable ? "store_regained" : "store_lost",
-        { { "catalogue", std::to_string(m_table->version()) } }));
+    const std::string version = std::to_string(m_table->version());
+    if (!event.isAvailable) {
+        m_storeLostAt = m_now;
+        actions.emplace_back(internal::makeLogLine(log_level::warning, "store_lost", { { "catalogue", version } }));
+    } else if (isFirst) {
+        actions.emplace_back(internal::makeLogLine(log_level::info, "store_reached", { { "catalogue", version } }));
+    } else {
+        actions.emplace_back(internal::makeLogLine(log_level::info, "store_regained",
+            { { "catalogue", version }, { "away_ms", std::to_string((m_now - m_storeLostAt).whole()) } }));
+    }
 }
 
 void gateway_core::on(const retry_settings_changed& event, gateway_actions&)
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -153,6 +153,7 @@
     time_point m_measurementsSharedAt;
     time_point m_loadLoggedAt;
     std::optional<bool> m_isStoreAvailable; /*!< Empty before the first answer or failure. */
+    time_point m_storeLostAt;
     bool m_isDirectoryRead = false;
     bool m_isStopping = false;
     bool m_isRecordPublished = false; /*!< A record of this node was published or restored. */
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -278,6 +278,27 @@
     EXPECT_EQ(m_group.core("d").describe()["known_nodes"], 4);
 }
 
+// Guards against logs in which the start of a process looks like the end of an outage.
+TEST_F(gateway_core_test, LogsTheFirstAnswerOfTheStoreApartFromItsReturn)
+{
+    m_group.add("d", "planning", "z1", 4);
+    gateway_core& core = m_group.core("d");
+    const auto change = [&core, this](bool isAvailable, milliseconds after) {
+        const time_point now = m_group.now() + after;
+        const gateway_actions actions = core.handle(store_availability_changed { isAvailable }, now, now);
+        for (const gateway_action& action : actions) {
+            const write_log* line = std::get_if<write_log>(&action);
+            if (line != nullptr && line->event.find("store_") == 0)
+                return line->event + " " + line->fields.back().second;
+        }
+        return std::string { "nothing" };
+    };
+    EXPECT_EQ(change(true, milliseconds { 0 }), "store_reached -1");
+    EXPECT_EQ(change(true, milliseconds { 10 }), "nothing");
+    EXPECT_EQ(change(false, milliseconds { 100 }), "store_lost -1");
+    EXPECT_EQ(change(true, milliseconds { 350 }), "store_regained 250");
+}
+
 TEST_F(gateway_core_test, GivesTheUpstreamNoMoreTimeThanIsLeft)
 {
     client_request event;
