Forget what a peer reported once it has answered

A peer that once reported a later offset of the directory counted as ahead for good if that offset belongs to an earlier era of the store, and since such a peer is asked before all others while the store does not answer. Found by reading the change; AsksOthersOnceAPeerThatReportedMoreHasAnswered failed before.

--- a/src/knapweedcroft/gateway/catch_up_requester.cpp
+++ b/src/knapweedcroft/gateway/catch_up_requester.cpp
@@ -54,8 +54,11 @@
 
 void catch_up_requester::recordAnswer(const node_name& peer)
 {
-    if (m_pending && m_pending->peer == peer)
-        m_pending.reset();
+    if (!m_pending || m_pending->peer != peer)
+        return;
+    m_pending.reset();
+    // What the peer reported before is in its answer, or belongs to an earlier era of the store.
+    m_peerVersions.erase(peer);
 }
 
 void catch_up_requester::removePeer(const node_name& peer)
--- a/test/knapweedcroft/gateway/catch_up_requester.cpp
+++ b/test/knapweedcroft/gateway/catch_up_requester.cpp
@@ -109,4 +109,15 @@
     EXPECT_EQ(requester.next(current, peers(3, 3), start), std::optional<node_name> { "n5" });
 }
 
+// Guards against asking the same peer for ever whose report belongs to an earlier era of the store.
+TEST(CatchUpRequester, AsksOthersOnceAPeerThatReportedMoreHasAnswered)
+{
+    catch_up_requester requester { 1 };
+    requester.setStoreAvailable(false, start);
+    requester.recordPeerVersions("n0", { 5, 900 }, start);
+    EXPECT_EQ(requester.next(current, peers(1, 1), start), std::optional<node_name> { "n0" });
+    requester.recordAnswer("n0");
+    EXPECT_EQ(requester.next(current, peers(1, 1), start + second), std::optional<node_name> { "n1" });
+}
+
 } // namespace knapweedcroft
