Remember the leave of an upstream that the process does not know yet

The process had started shortly before, while the store was away. A process that does not know the upstream yet acknowledged the leave and forgot it; the record that the process before it had published, read later from a peer or the store, made the upstream serve again. The registry now remembers such leaves, so that neither the record nor a late announcement counts.

RemembersTheLeaveOfAnUpstreamThatItDoesNotKnowYet failed before.

--- a/src/knapweedcroft/gateway/upstream_registry.cpp
+++ b/src/knapweedcroft/gateway/upstream_registry.cpp
@@ -2,6 +2,12 @@
 
 namespace knapweedcroft {
 
+namespace internal {
+
+static constexpr std::size_t maxFormerUpstreams = 64; // Bounds the memory for upstreams of this host that have left.
+
+} // namespace internal
+
 upstream_registry::upstream_registry(const chart& upstreamChart, milliseconds silenceTimeout)
     : m_state { upstreamChart }
     , m_silenceTimeout { silenceTimeout }
@@ -34,6 +40,8 @@
 // Announcements may arrive seconds late, even after the sender has ended and another upstream has replaced it.
 bool upstream_registry::isStale(const upstream_announcement& announcement)
 {
+    if (m_departedUnknown.count(announcement.incarnation.id) != 0)
+        return true;
     if (!m_current)
         return false;
     const upstream_incarnation& present = m_current->incarnation;
@@ -57,10 +65,9 @@
 
 void upstream_registry::replaceCurrent(const upstream_announcement& announcement)
 {
-    constexpr std::size_t maxPreviousSequences = 64;
     if (m_current) {
         m_state.fire(upstream_chart_event::restarted);
-        if (m_previousSequences.size() < maxPreviousSequences)
+        if (m_previousSequences.size() < internal::maxFormerUpstreams)
             m_previousSequences[m_current->incarnation.id] = m_current->sequence;
     }
     m_previousSequences.erase(announcement.incarnation.id);
@@ -86,7 +93,12 @@
 
 bool upstream_registry::leave(const std::string& id, time_point now)
 {
-    if (!m_current || m_current->incarnation.id != id || m_hasLeft)
+    if (!m_current || m_current->incarnation.id != id) {
+        if (m_departedUnknown.size() < internal::maxFormerUpstreams)
+            m_departedUnknown.insert(id);
+        return false;
+    }
+    if (m_hasLeft)
         return false;
     m_hasLeft = true;
     m_announcedAt = now;
@@ -97,7 +109,7 @@
 
 bool upstream_registry::restore(const upstream_announcement& announcement, time_point now)
 {
-    if (m_current)
+    if (m_current || m_departedUnknown.count(announcement.incarnation.id) != 0)
         return false;
     m_current = announcement;
     m_current->sequence = -1;
--- a/src/knapweedcroft/gateway/upstream_registry.hpp
+++ b/src/knapweedcroft/gateway/upstream_registry.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace knapweedcroft {
@@ -63,13 +64,16 @@
 
     /**
      * @brief Starts draining an upstream that leaves; it still finishes the requests that it has accepted.
+     *
+     * The leave of an upstream that is not known yet is remembered, so that a late announcement or the record of an
+     * earlier process does not make it serve.
      * @return True if the identifier is that of the current upstream and it was serving.
      */
     bool leave(const std::string& id, time_point now);
 
     /**
      * @brief Restores the upstream that an earlier process of this node published, until the next announcement.
-     * @return False if an upstream is already known.
+     * @return False if an upstream is already known, or if this one has left.
      */
     bool restore(const upstream_announcement& announcement, time_point now);
 
@@ -106,6 +110,7 @@
     std::optional<upstream_announcement> m_current;
     time_point m_announcedAt;
     std::map<std::string, std::int64_t> m_previousSequences; /*!< Last ones of replaced upstreams, by identifier. */
+    std::set<std::string> m_departedUnknown; /*!< Identifiers of upstreams that left without being the current one. */
     std::optional<std::int64_t> m_restartCandidateSequence; /*!< Latest number not above the newest one. */
     bool m_hasLeft = false; /*!< The current incarnation left; its later announcements are stale. */
 };
--- a/test/knapweedcroft/gateway/upstream_registry.cpp
+++ b/test/knapweedcroft/gateway/upstream_registry.cpp
@@ -112,4 +112,16 @@
     EXPECT_FALSE(m_registry.isServing());
 }
 
+// Guards against a process that starts, acknowledges the leave of an upstream that it does not know yet, and then takes
+// that upstream from the record of the process before it.
+TEST_F(upstream_registry_test, RemembersTheLeaveOfAnUpstreamThatItDoesNotKnowYet)
+{
+    EXPECT_FALSE(m_registry.leave("a", at(1)));
+    EXPECT_FALSE(m_registry.restore(announcement("a", 0, 0), at(2)));
+    EXPECT_EQ(m_registry.announce(announcement("a", 0, 7), at(3)), announcement_result::stale);
+    EXPECT_FALSE(m_registry.isServing());
+    EXPECT_TRUE(m_registry.restore(announcement("b", 0, 0), at(4)));
+    EXPECT_TRUE(m_registry.isServing());
+}
+
 } // namespace knapweedcroft
