Share the loopback network and the seeded draws of the tests

The soak and the test of endless responses derived their loopback network from the process id with the same lines, and both generators of fault plans had the same lambda; each is one piece now. A counter that no test read and a second clock go.

--- a/test/knapweedcroft/net/test_servers.hpp
+++ b/test/knapweedcroft/net/test_servers.hpp
@@ -14,8 +14,23 @@
 #include <utility>
 #include <vector>
 
+#include <unistd.h>
+
 namespace knapweedcroft {
 
+/**
+ * @brief Returns the first three octets of loopback addresses, with a trailing dot.
+ *
+ * They follow from the id of this process, so that parallel runs do not collide at fixed ports.
+ */
+[[nodiscard]] inline std::string loopbackNetwork()
+{
+    constexpr unsigned bits = 8;
+    constexpr unsigned mask = 0xFF;
+    const unsigned process = static_cast<unsigned>(getpid());
+    return "127." + std::to_string((process >> bits) & mask) + "." + std::to_string(process & mask) + ".";
+}
+
 /** @brief Accepts TCP connections on a loopback port and passes them to a subclass. */
 class test_listener {
 public:
@@ -68,13 +83,11 @@
     {
     }
 
-    std::size_t accepted = 0;
     std::size_t closed = 0;
 
 protected:
     void accept(evutil_socket_t socket) override
     {
-        ++accepted;
         m_streams.push_back(makeStream(socket));
         bufferevent* stream = m_streams.back().get();
         bufferevent_setcb(stream, nullptr, &endless_server::onWritten, &endless_server::onEvent, this);
--- a/test/platform/endless_responses.cpp
+++ b/test/platform/endless_responses.cpp
@@ -11,8 +11,6 @@
 #include <string>
 #include <vector>
 
-#include <unistd.h>
-
 namespace knapweedcroft::platform {
 
 namespace {
@@ -28,11 +26,6 @@
 protected:
     endless_responses_test()
     {
-        constexpr unsigned bits = 8;
-        constexpr unsigned mask = 0xFF;
-        // Derived from the process id, so that parallel runs do not collide.
-        const unsigned process = static_cast<unsigned>(getpid());
-        m_ip = "127." + std::to_string((process >> bits) & mask) + "." + std::to_string(process & mask) + ".240";
         const nlohmann::json settings = { { "node",
                                               { { "name", "n1" }, { "data_centre", "north" }, { "service", "shop" } } },
             { "listen",
@@ -102,7 +95,7 @@
     http_client m_client { m_loop, http_client_settings {} };
     exchange_client m_clients { m_loop, exchange_client_settings {} };
     test_folder m_folder;
-    std::string m_ip;
+    std::string m_ip { loopbackNetwork() + "240" };
     std::unique_ptr<test_process> m_process;
 };
 
--- a/test/platform/soak/fault_plan.cpp
+++ b/test/platform/soak/fault_plan.cpp
@@ -31,6 +31,23 @@
 static constexpr std::size_t firstKinds = 17;
 static constexpr std::size_t allKinds = 18; // The kinds after these are only drawn for configuration plans.
 
+// Draws numbers that depend only on the seed and on the order of the calls.
+class bounded_random {
+public:
+    explicit bounded_random(std::uint64_t seed)
+        : m_random { seed }
+    {
+    }
+
+    [[nodiscard]] std::int64_t operator()(std::int64_t minValue, std::int64_t maxValue)
+    {
+        return std::uniform_int_distribution<std::int64_t> { minValue, maxValue }(m_random);
+    }
+
+private:
+    std::mt19937_64 m_random;
+};
+
 static void sortByStart(std::vector<planned_fault>& faults)
 {
     std::sort(faults.begin(), faults.end(),
@@ -50,10 +67,7 @@
 
 fault_plan generateFaultPlan(std::uint64_t seed)
 {
-    std::mt19937_64 random { seed };
-    const auto draw = [&random](std::int64_t minValue, std::int64_t maxValue) {
-        return std::uniform_int_distribution<std::int64_t> { minValue, maxValue }(random);
-    };
+    internal::bounded_random draw { seed };
     constexpr std::int64_t minStartMs = 300;
     constexpr std::int64_t maxEndMs = 5500;
     constexpr std::int64_t minDurationMs = 200;
@@ -85,10 +99,7 @@
 
 fault_plan generateConfigurationPlan(std::uint64_t seed)
 {
-    std::mt19937_64 random { seed };
-    const auto draw = [&random](std::int64_t minValue, std::int64_t maxValue) {
-        return std::uniform_int_distribution<std::int64_t> { minValue, maxValue }(random);
-    };
+    internal::bounded_random draw { seed };
     constexpr std::uint64_t largeInterval = 10;
     constexpr std::size_t largeHosts = 100;
     constexpr std::array<std::size_t, 3> groupSizes { 0, 2, 8 };
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -9,8 +9,6 @@
 #include <sstream>
 #include <utility>
 
-#include <unistd.h>
-
 namespace knapweedcroft::platform {
 
 namespace internal {
@@ -75,16 +73,13 @@
     , m_entries { { "/order/", "shop", false, "/reserve/" }, { "/look/", "shop", true, "/count/" },
         { "/reserve/", "stock", false, "" }, { "/count/", "stock", true, "" },
         { "/version/", "stock", true, "", true } }
+    , m_network { loopbackNetwork() }
     , m_clients { m_loop, exchange_client_settings {} }
     , m_loadTimer { m_loop, [this] { sendNextRequest(); } }
     , m_probeTimer { m_loop, [this] { sendNextProbe(); } }
     , m_pollTimer { m_loop, [this] { pollNodes(); } }
     , m_readiness { m_loop, http_client_settings {} }
 {
-    constexpr unsigned bits = 8;
-    constexpr unsigned mask = 0xFF;
-    const unsigned process = static_cast<unsigned>(getpid());
-    m_network = "127." + std::to_string((process >> bits) & mask) + "." + std::to_string(process & mask) + ".";
     m_store = std::make_unique<fake_store>(m_loop, m_network + "250", internal::storePort);
     for (std::size_t number = 0; number < m_plan.hosts; ++number)
         makeHost(number, seed);
@@ -484,12 +479,11 @@
 {
     std::vector<soak_entry> entries = m_entries;
     entries.back() = entryOfVersion(m_version);
-    const clock time { system_time_source {} };
-    const time_point limit = time.now() + internal::recoveryTimeout;
+    const time_point limit = m_clock.now() + internal::recoveryTimeout;
     for (const std::unique_ptr<soak_host>& host : m_hosts) {
         for (const soak_entry& entry : entries) {
             while (!awaitSuccess(*host, entry)) {
-                if (time.now() > limit) {
+                if (m_clock.now() > limit) {
                     m_violations.push_back(what + ": " + host->node + " does not serve " + entry.path);
                     return false;
                 }
