Reproduce requests beyond the limit that an upstream names

The stand-in of an upstream names a limit in its answers, and notice_ledger checks the platform's rule: requests from nodes that have passed such an answer on, in any 4 s.

--- a/test/platform/soak/fake_upstream.cpp
+++ b/test/platform/soak/fake_upstream.cpp
@@ -45,6 +45,7 @@
         return;
     m_id = "i-" + m_location.node + "-" + std::to_string(++m_incarnations);
     m_sequence = 0;
+    m_namedLimit.reset();
     m_server = std::make_unique<pipelined_server>(m_loop, pipelined_server_limits {},
         pipelined_server_handlers {
             [this](std::uint64_t request, const opaque_request& message) { receive(request, message); },
@@ -96,7 +97,7 @@
 void fake_upstream::receive(std::uint64_t request, const opaque_request& message)
 {
     const std::string id = internal::headerValue(message, "X-Request-Id");
-    m_ledger.recordArrival(id);
+    m_ledger.recordArrival(id, m_id, m_clock.now());
     const auto entry = std::find_if(m_entries.begin(), m_entries.end(), [this, &message](const soak_entry& candidate) {
         return candidate.service == m_location.service && message.target.find(candidate.path) == 0;
     });
@@ -130,7 +131,9 @@
 
 void fake_upstream::reject(std::uint64_t request, const std::string& id, int status)
 {
-    m_server->answer(request, opaque_response { status, { { "X-Request-Id", id }, { "X-Not-Executed", "1" } }, {} });
+    opaque_response response { status, { { "X-Request-Id", id }, { "X-Not-Executed", "1" } }, {} };
+    addNotices(response);
+    m_server->answer(request, response);
 }
 
 void fake_upstream::execute(std::uint64_t number)
@@ -156,7 +159,7 @@
     running.exchange = m_calls.start(
         m_location.outbound, call, [](const opaque_response&) { return true; },
         [this, number, id](const exchange_outcome& outcome) {
-            m_ledger.recordEnd(id, outcome);
+            m_ledger.recordEnd(id, outcome, m_clock.now());
             const auto parent = m_jobs.find(number);
             if (parent != m_jobs.end())
                 parent->second.exchange = 0;
@@ -178,11 +181,20 @@
     // Chunked encoding together with a length is invalid framing, so this response must not reach a client.
     opaque_response response { status, { { "X-Request-Id", ended.id }, { "X-Response-Signature", m_id } },
         request_ledger::responseBody(ended.id, m_id) };
+    addNotices(response);
     if (isDropped)
         response.headers.emplace_back("Transfer-Encoding", "chunked");
     m_server->answer(ended.request, response, isDropped);
 }
 
+void fake_upstream::addNotices(opaque_response& response)
+{
+    if (m_rateLimit)
+        response.headers.emplace_back("Server-Limit", std::to_string(*m_rateLimit));
+    if (std::exchange(m_namedLimit, m_rateLimit) != m_rateLimit)
+        m_ledger.notices().recordLimit(m_id, m_rateLimit, m_clock.now());
+}
+
 void fake_upstream::cancelCall(const job& ended)
 {
     if (ended.exchange == 0)
--- a/test/platform/soak/fake_upstream.hpp
+++ b/test/platform/soak/fake_upstream.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -66,6 +67,9 @@
     /** @brief Sets whether every third response is replaced by closing the connection. */
     void setDropsResponses(bool shouldDropResponses) { m_shouldDropResponses = shouldDropResponses; }
 
+    /** @brief Sets the limit, in requests per second, that it names in its answers; nothing if it names none. */
+    void setRateLimit(std::optional<double> limit) { m_rateLimit = limit; }
+
 private:
     struct job {
         std::uint64_t request = 0; // Request id at the server.
@@ -83,6 +87,7 @@
     void execute(std::uint64_t number);
     void finish(std::uint64_t number, int status);
     void cancelCall(const job& ended);
+    void addNotices(opaque_response& response);
 
     event_loop& m_loop;
     upstream_location m_location;
@@ -104,6 +109,8 @@
     bool m_shouldDropResponses = false;
     full_behaviour m_onFull;
     std::size_t m_hungRequests = 0;
+    std::optional<double> m_rateLimit;
+    std::optional<double> m_namedLimit; /*!< Limit that the latest answer named. */
 };
 
 } // namespace knapweedcroft::platform
--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -37,7 +37,8 @@
     data_centre_turned_away, /*!< The store resets the connections of all nodes of the host's data centre. */
     connections_silenced, /*!< All open connections to the store fall silent for good; new ones work. */
     kill_some, /*!< SIGKILL of every second node. */
-    node_reload /*!< The settings file changes, and SIGHUP reports it. */
+    node_reload, /*!< The settings file changes, and SIGHUP reports it. */
+    upstream_limited /*!< The upstream names a limit on its rate of requests in its answers. */
 };
 
 [[nodiscard]] std::string_view toString(fault_kind kind);
--- /dev/null
+++ b/test/platform/soak/notice_ledger.cpp
@@ -0,0 +1,95 @@
+#include "soak/notice_ledger.hpp"
+
+#include <algorithm>
+
+namespace knapweedcroft::platform {
+
+void notice_ledger::recordLimit(const std::string& upstream, std::optional<double> limit, time_point now)
+{
+    std::vector<limit_period>& periods = m_limits[upstream];
+    if (!periods.empty() && !periods.back().until)
+        periods.back().until = now;
+    if (limit)
+        periods.push_back({ *limit, now, std::nullopt });
+}
+
+void notice_ledger::recordResponse(const std::string& node, const opaque_response& response, time_point now)
+{
+    const std::optional<std::string> upstream = findHeader(response.headers, "X-Response-Signature");
+    if (upstream && findHeader(response.headers, "Server-Limit"))
+        m_toldAt[node].emplace(*upstream, now);
+}
+
+void notice_ledger::recordArrival(const std::string& upstream, const std::string& node, time_point now)
+{
+    const auto told = m_toldAt.find(node);
+    if (told == m_toldAt.end())
+        return;
+    const auto toldAt = told->second.find(upstream);
+    if (toldAt != told->second.end() && toldAt->second + m_bounds.passedOn <= now)
+        m_arrivals[upstream].push_back(now);
+}
+
+std::size_t notice_ledger::countWindow(const arrival_times& arrivals, std::size_t first) const
+{
+    const time_point end = arrivals[first] + m_bounds.window;
+    const auto last = std::upper_bound(arrivals.begin() + static_cast<std::ptrdiff_t>(first), arrivals.end(), end);
+    return static_cast<std::size_t>(last - arrivals.begin()) - first;
+}
+
+// Returns the number of requests that the limits of an upstream allow in a window, or nothing if the upstream does not
+// name a limit all the while.
+std::optional<double> notice_ledger::allowance(const std::string& upstream, time_point from) const
+{
+    const auto known = m_limits.find(upstream);
+    if (known == m_limits.end())
+        return std::nullopt;
+    const time_point end = from + m_bounds.window;
+    milliseconds covered;
+    double allowed = 0.0;
+    const time_point start = known->second.front().from + m_bounds.contact;
+    for (const limit_period& period : known->second) {
+        const time_point first = std::max(from, std::max(start, period.from));
+        const time_point last = std::min(end, period.until.value_or(end));
+        if (last <= first)
+            continue;
+        covered = covered + (last - first);
+        constexpr double millisecondsPerSecond = 1000.0;
+        allowed += period.limit * (last - first).count() / millisecondsPerSecond;
+    }
+    if (covered < m_bounds.window)
+        return std::nullopt;
+    return m_bounds.ratio * allowed + m_bounds.slack;
+}
+
+std::size_t notice_ledger::maxCounted() const
+{
+    std::size_t most = 0;
+    for (const std::pair<const std::string, arrival_times>& item : m_arrivals) {
+        for (std::size_t first = 0; first < item.second.size(); ++first) {
+            if (allowance(item.first, item.second[first]))
+                most = std::max(most, countWindow(item.second, first));
+        }
+    }
+    return most;
+}
+
+std::vector<std::string> notice_ledger::violations() const
+{
+    std::vector<std::string> found;
+    for (const std::pair<const std::string, arrival_times>& item : m_arrivals) {
+        for (std::size_t first = 0; first < item.second.size(); ++first) {
+            const std::optional<double> allowed = allowance(item.first, item.second[first]);
+            const std::size_t count = countWindow(item.second, first);
+            if (!allowed || static_cast<double>(count) <= *allowed)
+                continue;
+            found.push_back(item.first + ": named a limit and received " + std::to_string(count) + " requests in "
+                + std::to_string(m_bounds.window.whole()) + " ms from nodes that had passed it on; allowed "
+                + std::to_string(*allowed));
+            break;
+        }
+    }
+    return found;
+}
+
+} // namespace knapweedcroft::platform
--- a/test/platform/soak/request_ledger.cpp
+++ b/test/platform/soak/request_ledger.cpp
@@ -37,18 +37,26 @@
     added.mayStayUnanswered = m_disturbedNodes.count(node) != 0;
 }
 
-void request_ledger::recordEnd(const std::string& id, const exchange_outcome& outcome)
+void request_ledger::recordEnd(const std::string& id, const exchange_outcome& outcome, time_point now)
 {
     request& seen = m_requests[id];
     seen.hasEnded = true;
     if (const opaque_response* response = std::get_if<opaque_response>(&outcome)) {
         seen.status = response->status;
         seen.body = response->body;
+        m_notices.recordResponse(seen.node, *response, now);
     } else {
         seen.failure = std::get<exchange_failure>(outcome).cause.message;
     }
 }
 
+void request_ledger::recordArrival(const std::string& id, const std::string& upstream, time_point now)
+{
+    request& seen = m_requests[id];
+    ++seen.arrivals;
+    m_notices.recordArrival(upstream, seen.node, now);
+}
+
 void request_ledger::exemptOpenRequests(const std::string& node)
 {
     for (std::pair<const std::string, request>& item : m_requests) {
@@ -59,6 +67,7 @@
 
 void request_ledger::setDisturbed(const std::string& node, bool isDisturbed)
 {
+    m_notices.recordDisturbance(node);
     if (isDisturbed)
         m_disturbedNodes.insert(node);
     else
@@ -135,6 +144,8 @@
             found.push_back("service " + item.first + ": " + std::to_string(item.second) + " retries for "
                 + std::to_string(requests[item.first]) + " requests");
     }
+    const std::vector<std::string> ignoredNotices = m_notices.violations();
+    found.insert(found.end(), ignoredNotices.begin(), ignoredNotices.end());
     return found;
 }
 
--- a/test/platform/soak/request_ledger.hpp
+++ b/test/platform/soak/request_ledger.hpp
@@ -1,6 +1,9 @@
 #ifndef KNAPWEEDCROFT_TEST_PLATFORM_SOAK_REQUEST_LEDGER_HPP
 #define KNAPWEEDCROFT_TEST_PLATFORM_SOAK_REQUEST_LEDGER_HPP
 
+#include "soak/notice_ledger.hpp"
+
+#include "knapweedcroft/core/time.hpp"
 #include "knapweedcroft/http/exchange_client.hpp"
 
 #include <cstddef>
@@ -35,7 +38,7 @@
     void recordSent(const std::string& id, const std::string& node, const soak_entry& entry);
 
     /** @brief Records the outcome of a request at its caller. */
-    void recordEnd(const std::string& id, const exchange_outcome& outcome);
+    void recordEnd(const std::string& id, const exchange_outcome& outcome, time_point now);
 
     /** @brief Records that the caller cancelled a request. */
     void recordCancellation(const std::string& id) { m_requests[id].isCancelled = true; }
@@ -47,7 +50,7 @@
     void setDisturbed(const std::string& node, bool isDisturbed);
 
     /** @brief Records that a request reached an upstream, which may still reject it. */
-    void recordArrival(const std::string& id) { ++m_requests[id].arrivals; }
+    void recordArrival(const std::string& id, const std::string& upstream, time_point now);
 
     /** @brief Records that an upstream started to run a request. */
     void recordExecution(const std::string& id, const std::string& upstream)
@@ -58,6 +61,9 @@
     /** @brief Returns the response body that an upstream sends for a request. */
     [[nodiscard]] static std::string responseBody(const std::string& id, const std::string& upstream);
 
+    /** @brief Returns the record of the notices in the answers of upstreams. */
+    [[nodiscard]] notice_ledger& notices() { return m_notices; }
+
     /** @brief Returns whether a request has neither ended nor been cancelled. */
     [[nodiscard]] bool isOpen(const std::string& id) const;
 
@@ -92,6 +98,7 @@
 
     std::map<std::string, request> m_requests;
     std::set<std::string> m_disturbedNodes;
+    notice_ledger m_notices;
 };
 
 } // namespace knapweedcroft::platform
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -34,6 +34,7 @@
 static constexpr milliseconds stopTimeout { 45'000 };
 static constexpr std::size_t maxAttempts = 2;
 static constexpr int slowFactor = 10;
+static constexpr double upstreamRateLimit = 12.5; // Requests per second; the load offers some 100.
 static constexpr std::int64_t graceMs = 5000;
 static constexpr milliseconds copyAge { 1000 };
 static constexpr double retryRatio = 0.2;
@@ -371,6 +372,7 @@
     relay_mode store = relay_mode::forwarding;
     int serviceTimeFactor = 1;
     bool dropsResponses = false;
+    std::optional<double> rateLimit;
     for (const planned_fault& fault : m_activeFaults) {
         if (!isAffected(fault, host))
             continue;
@@ -378,6 +380,8 @@
         store = storeMode(fault.kind).value_or(store);
         serviceTimeFactor = fault.kind == fault_kind::upstream_slow ? internal::slowFactor : serviceTimeFactor;
         dropsResponses = dropsResponses || fault.kind == fault_kind::upstream_answers_lost;
+        if (fault.kind == fault_kind::upstream_limited)
+            rateLimit = internal::upstreamRateLimit;
     }
     if (host.links->mode() != links)
         host.links->setMode(links);
@@ -385,6 +389,7 @@
         host.store->setMode(store);
     host.upstream->setServiceTimeFactor(serviceTimeFactor);
     host.upstream->setDropsResponses(dropsResponses);
+    host.upstream->setRateLimit(rateLimit);
     updateDisturbance(host);
 }
 
@@ -415,7 +420,7 @@
     const std::uint64_t exchange = m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
         [](const opaque_response&) { return true; },
-        [this, id](const exchange_outcome& outcome) { m_ledger.recordEnd(id, outcome); });
+        [this, id](const exchange_outcome& outcome) { m_ledger.recordEnd(id, outcome, m_clock.now()); });
     constexpr std::uint64_t requestsPerCancellation = 25;
     const bool isCancelling = m_lastRequest % requestsPerCancellation == 0;
     schedule(isCancelling ? milliseconds { 20 } : internal::clientTimeout, [this, exchange, id] {
@@ -445,7 +450,7 @@
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
         [](const opaque_response&) { return true; },
         [this, id, &host, probe](const exchange_outcome& outcome) mutable {
-            m_ledger.recordEnd(id, outcome);
+            m_ledger.recordEnd(id, outcome, m_clock.now());
             const opaque_response* response = std::get_if<opaque_response>(&outcome);
             probe.isServed = response != nullptr && response->status == internal::okStatus;
             const bool isNotFound = response != nullptr && response->status == internal::notFoundStatus;
@@ -469,7 +474,7 @@
     const bool hasEnded = m_loop.runUntil([&outcome] { return outcome.has_value(); }, internal::clientTimeout);
     if (!hasEnded)
         return false;
-    m_ledger.recordEnd(id, *outcome);
+    m_ledger.recordEnd(id, *outcome, m_clock.now());
     const opaque_response* response = std::get_if<opaque_response>(&*outcome);
     return response != nullptr && response->status == internal::okStatus;
 }
@@ -554,7 +559,8 @@
     const std::vector<std::string> lateChanges = m_configurationLedger.violations();
     report.violations.insert(report.violations.end(), lateChanges.begin(), lateChanges.end());
     report.summary = m_ledger.summary() + "; " + std::to_string(m_version) + " versions, "
-        + std::to_string(m_configurationLedger.checkedProbes()) + " probes checked";
+        + std::to_string(m_configurationLedger.checkedProbes()) + " probes checked, at most "
+        + std::to_string(m_ledger.notices().maxCounted()) + " requests in a window under a limit";
     return report;
 }
 
