Keep the rate that an upstream names in its answers

Cause: the limit is an answer's header that no node reads. Work is placed by slots and predicted latency only, and no part of the node bounds the rate of requests to its upstream.

The node beside the upstream spaces all requests to it at the named rate; all work passes there, so the limit holds without messages, however many nodes send. The rate is also the capacity that queue predictions, admission ratio, retry times and the choice of an upstream use: requests with an alternative go elsewhere at once, and when there is none the least urgent work is refused where it enters.

--- a/src/knapweedcroft/core/call_result.hpp
+++ b/src/knapweedcroft/core/call_result.hpp
@@ -19,6 +19,7 @@
     body_too_large,
     overloaded,
     deadline_unreachable,
+    rate_limited,
     upstream_shed,
     draining,
     no_upstream,
--- a/src/knapweedcroft/gateway/admission_ratio_controller.cpp
+++ b/src/knapweedcroft/gateway/admission_ratio_controller.cpp
@@ -28,7 +28,7 @@
 void admission_ratio_controller::update(const load_sample& sample, time_point now)
 {
     const milliseconds elapsed = now - m_lastUpdate;
-    if (elapsed < internal::updateInterval || sample.slots == 0)
+    if (elapsed < internal::updateInterval || sample.slots <= 0.0)
         return;
     m_lastUpdate = now;
     const double offered = m_offeredWorkMs;
@@ -39,7 +39,7 @@
         return;
     }
     const double interval = elapsed.count();
-    const double measured = offered / (interval * static_cast<double>(sample.slots));
+    const double measured = offered / (interval * sample.slots);
     m_utilization += (1.0 - std::exp(-interval / internal::smoothingTimeMs)) * (measured - m_utilization);
     const double excessWait = std::max(0.0, sample.wait.count() - internal::toleratedWaitMs);
     const double spare = internal::targetUtilization - m_utilization - excessWait / internal::fullPenaltyWaitMs;
--- a/src/knapweedcroft/gateway/admission_ratio_controller.hpp
+++ b/src/knapweedcroft/gateway/admission_ratio_controller.hpp
@@ -9,7 +9,7 @@
 
 /** @brief State of an upstream at the time of an update. */
 struct load_sample {
-    std::uint32_t slots = 0;
+    double slots = 0.0; /*!< Slots that can be in use at the same time. */
     milliseconds wait; /*!< Predicted wait of a request queued last. */
 };
 
--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -32,11 +32,24 @@
     request_handle handle = 0;
 };
 
+/** @brief What an upstream says of itself in an answer. */
+struct upstream_notices {
+    /** @brief Requests per second that it takes from all nodes together; nothing if it names no limit. */
+    std::optional<double> rateLimit;
+    bool hasInvalidRateLimit = false; /*!< It names a limit that is no decimal number; the one in force stays. */
+
+    friend bool operator==(const upstream_notices& lhs, const upstream_notices& rhs)
+    {
+        return lhs.rateLimit == rhs.rateLimit && lhs.hasInvalidRateLimit == rhs.hasInvalidRateLimit;
+    }
+};
+
 /** @brief A complete response from the upstream. */
 struct upstream_response {
     opaque_response response;
     bool isNotRun = false; /*!< The upstream reports that it did not run the request. */
     bool isMisdirected = false; /*!< The process at the address is not the expected upstream. */
+    upstream_notices notices {};
 };
 
 /** @brief An exchange with the upstream of this host ended. */
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -159,7 +159,7 @@
 {
     upstream_status_message status;
     status.catalogueVersion = m_table->version();
-    status.load = m_served.load();
+    status.load = m_served.load(m_now);
     if (!m_registry.current())
         return status;
     status.upstream = m_registry.current()->incarnation.id;
@@ -380,7 +380,7 @@
         actions.emplace_back(withdraw_record {});
     actions.emplace_back(internal::makeLogLine(log_level::info, "stop_started",
         { { "pending", std::to_string(m_origin.pendingCount()) },
-            { "running", std::to_string(m_served.load().running) } }));
+            { "running", std::to_string(m_served.load(m_now).running) } }));
 }
 
 // --- links
@@ -758,7 +758,7 @@
 {
     const origin_request_counters& origin = m_origin.counters();
     const served_request_counters& served = m_served.counters();
-    const upstream_load load = m_served.load();
+    const upstream_load load = m_served.load(m_now);
     std::size_t linked = 0;
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes())
         linked += item.second.isLinked ? 1U : 0U;
@@ -770,7 +770,8 @@
         { "upstream",
             { { "id", m_registry.current() ? m_registry.current()->incarnation.id : std::string {} },
                 { "serving", m_registry.isServing() }, { "running", load.running }, { "queued", load.queued },
-                { "slots", load.slots }, { "service_time_ms", load.serviceTime.count() } } },
+                { "slots", load.slots }, { "service_time_ms", load.serviceTime.count() },
+                { "rate_limited", load.rate.has_value() }, { "rate_limit_per_s", load.rate.value_or(0.0) } } },
         { "room", m_served.describeAdmissionRatio(m_now) },
         { "origin_requests",
             { { "received", origin.received }, { "answered", origin.answered }, { "refused", origin.refused },
@@ -780,7 +781,7 @@
         { "served_requests",
             { { "received", served.received }, { "started", served.started }, { "answered", served.answered },
                 { "refused", served.refused }, { "shed", served.shed }, { "failed", served.failed },
-                { "cancelled", served.cancelled } } } };
+                { "cancelled", served.cancelled }, { "rate_limited", served.rateLimited } } } };
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -62,7 +62,7 @@
     [[nodiscard]] bool isReady() const;
 
     /** @brief Returns true if no request from this host is pending and none is running at its upstream. */
-    [[nodiscard]] bool isIdle() const { return m_origin.pendingCount() == 0 && m_served.load().running == 0; }
+    [[nodiscard]] bool isIdle() const { return m_origin.pendingCount() == 0 && m_served.load(m_now).running == 0; }
 
     /** @brief Returns the gateway state as a JSON object, for operators. */
     [[nodiscard]] nlohmann::json describe() const;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -1,6 +1,7 @@
 #include "knapweedcroft/gateway/served_requests.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweedcroft {
 
@@ -10,6 +11,8 @@
 static constexpr milliseconds overloadRetryAfter { 1000 };
 static constexpr milliseconds unavailableRetryAfter { 300 }; // A restarted upstream announces itself within this time.
 
+static constexpr double loggedRateChange = 0.25; // Share by which a rate changes before it is logged again.
+
 [[nodiscard]] static bool isSuccess(int status)
 {
     constexpr int firstServerError = 500;
@@ -54,6 +57,12 @@
         return;
     }
     m_originClassifier.recordRequest(message.entry, message.caller);
+    const slot_request slot = makeSlotRequest(id);
+    // Does not count as offered work, since another upstream may take it.
+    if (m_queue.isTooSlowFor(slot, now)) {
+        refuse(id, forward_refusal { refusal_reason::rate_limited, internal::overloadRetryAfter, false }, now, actions);
+        return;
+    }
     if (shouldRefuseNewWork(message, now)) {
         refuse(id, forward_refusal { refusal_reason::overloaded, internal::overloadRetryAfter, false, true }, now,
             actions);
@@ -61,14 +70,20 @@
     }
     m_admissionControl.addOfferedWork(m_queue.serviceTime(message.entry));
     updateAdmissionRatio(now);
+    apply(m_queue.offer(slot, now), now, actions);
+}
+
+slot_request served_requests::makeSlotRequest(std::uint64_t id) const
+{
+    const served_request& request = m_requests.at(id);
     slot_request slot;
     slot.id = id;
-    slot.entry = message.entry;
-    slot.isSubCall = m_originClassifier.originOf(message.entry) == entry_origin::upstreams;
-    slot.hasAlternative = message.hasAlternative;
+    slot.entry = request.message.entry;
+    slot.isSubCall = m_originClassifier.originOf(request.message.entry) == entry_origin::upstreams;
+    slot.hasAlternative = request.message.hasAlternative;
     slot.target = request.target;
     slot.deadline = request.deadline;
-    apply(m_queue.offer(slot, now), now, actions);
+    return slot;
 }
 
 double served_requests::admissionRatioOf(const std::string& entry, time_point now) const
@@ -128,9 +143,9 @@
 
 void served_requests::updateAdmissionRatio(time_point now)
 {
-    const upstream_load load = m_queue.load();
+    const bool isQueued = m_queue.load(now).queued > 0;
     m_admissionControl.update(
-        load_sample { load.slots, load.queued > 0 ? m_queue.expectedSlotWait() : milliseconds {} }, now);
+        load_sample { m_queue.usableSlots(), isQueued ? m_queue.expectedSlotWait(now) : milliseconds {} }, now);
 }
 
 void served_requests::apply(const slot_decisions& decisions, time_point now, gateway_actions& actions)
@@ -141,7 +156,9 @@
             continue;
         }
         const refuse_request& refused = std::get<refuse_request>(decision);
-        refuse(refused.id, forward_refusal { refused.reason, refused.retryAfter, false }, now, actions);
+        const milliseconds minRetryAfter = m_queue.rate() ? internal::overloadRetryAfter : milliseconds {};
+        refuse(refused.id, forward_refusal { refused.reason, std::max(refused.retryAfter, minRetryAfter), false }, now,
+            actions);
     }
 }
 
@@ -179,9 +196,11 @@
         return;
     const served_request request = extract(position);
     ++m_counters.refused;
+    m_counters.rateLimited += refusal.reason == refusal_reason::rate_limited ? 1U : 0U;
+    const upstream_load load = m_queue.load(now);
     log("request_turned_away", request,
-        { { "reason", std::string { toString(refusal.reason) } }, { "queued", std::to_string(m_queue.load().queued) },
-            { "running", std::to_string(m_queue.load().running) },
+        { { "reason", std::string { toString(refusal.reason) } }, { "queued", std::to_string(load.queued) },
+            { "running", std::to_string(load.running) },
             { "room", std::to_string(admissionRatioOf(request.message.entry, now)) } },
         actions);
     answer(request, refusal, now, actions);
@@ -196,7 +215,7 @@
     forward_answer message;
     message.id = request.message.id;
     message.outcome = std::move(outcome);
-    message.load = m_queue.load();
+    message.load = m_queue.load(now);
     message.isCalledByUpstreamsOnly = m_originClassifier.originOf(request.message.entry) == entry_origin::upstreams;
     message.admissionRatio = admissionRatioOf(request.message.entry, now);
     if (request.startedAt)
@@ -238,7 +257,7 @@
 }
 
 forward_outcome served_requests::outcomeOf(
-    const served_request& request, upstream_response& response, gateway_actions& actions)
+    const served_request& request, upstream_response& response, time_point now, gateway_actions& actions)
 {
     if (!response.isNotRun) {
         ++m_counters.answered;
@@ -247,7 +266,7 @@
     ++m_counters.shed;
     log("request_shed", request, { { "status", std::to_string(response.response.status) } }, actions);
     const refusal_reason reason = response.isMisdirected ? refusal_reason::no_upstream : refusal_reason::upstream_shed;
-    return forward_refusal { reason, m_queue.expectedSlotWait(), !response.isMisdirected };
+    return forward_refusal { reason, m_queue.expectedSlotWait(now), !response.isMisdirected };
 }
 
 forward_outcome served_requests::outcomeOf(
@@ -269,9 +288,14 @@
     const served_request request = extract(position);
     upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
+    if (response != nullptr && !response->isMisdirected) {
+        if (response->notices.hasInvalidRateLimit)
+            log("rate_limit_ignored", request, { { "remedy", "let the upstream name requests per second" } }, actions);
+        applyNotices(request.upstream, response->notices, now, actions);
+    }
     recordOutcome(request, event, now);
     forward_outcome outcome
-        = response != nullptr ? outcomeOf(request, *response, actions) : outcomeOf(request, *failure, actions);
+        = response != nullptr ? outcomeOf(request, *response, now, actions) : outcomeOf(request, *failure, actions);
     const bool isMeasured = response != nullptr && !response->isNotRun;
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
     answer(request, std::move(outcome), now, actions);
@@ -281,14 +305,44 @@
     return (isUnreachable || isWrongUpstream) && m_registry.markUnreachable(request.upstream);
 }
 
+// The answer to a request that was sent to an earlier upstream says nothing about the current one.
+void served_requests::applyNotices(
+    const std::string& upstream, const upstream_notices& notices, time_point now, gateway_actions& actions)
+{
+    const bool isCurrent = m_registry.current() && m_registry.current()->incarnation.id == upstream;
+    if (!isCurrent || notices.hasInvalidRateLimit)
+        return;
+    m_rateUpstream = upstream;
+    setRate(notices.rateLimit, now, actions);
+}
+
+void served_requests::setRate(std::optional<double> rate, time_point now, gateway_actions& actions)
+{
+    const std::optional<double> before = m_queue.rate();
+    if (rate == before)
+        return;
+    apply(m_queue.setRate(rate, now), now, actions);
+    // An upstream may name a slightly different rate in each answer.
+    const bool isSimilar = rate && before && std::abs(*rate - m_loggedRate) < internal::loggedRateChange * m_loggedRate;
+    if (isSimilar)
+        return;
+    m_loggedRate = rate.value_or(0.0);
+    write_log line;
+    line.event = rate ? "upstream_rate_limited" : "upstream_rate_limit_ended";
+    line.fields = { { "upstream", m_rateUpstream }, { "rate_per_s", std::to_string(m_loggedRate) } };
+    actions.emplace_back(std::move(line));
+}
+
 void served_requests::handleUpstreamChange(time_point now, gateway_actions& actions)
 {
+    if (m_registry.current() && m_registry.current()->incarnation.id != m_rateUpstream)
+        setRate(std::nullopt, now, actions);
     if (m_registry.isServing()) {
         apply(m_queue.setSlots(m_registry.current()->slots, now), now, actions);
         return;
     }
     const bool isDraining = m_registry.state() == upstream_chart_state::draining;
-    apply(m_queue.refuseAll(isDraining ? refusal_reason::draining : refusal_reason::no_upstream), now, actions);
+    apply(m_queue.refuseAll(isDraining ? refusal_reason::draining : refusal_reason::no_upstream, now), now, actions);
 }
 
 void served_requests::poll(time_point now, gateway_actions& actions)
@@ -299,12 +353,13 @@
 
 std::vector<std::pair<std::string, std::string>> served_requests::describeLoad(time_point now) const
 {
-    const upstream_load load = m_queue.load();
+    const upstream_load load = m_queue.load(now);
     return { { "running", std::to_string(load.running) }, { "queued", std::to_string(load.queued) },
         { "slots", std::to_string(load.slots) }, { "service_time_ms", std::to_string(load.serviceTime.count()) },
         { "utilization", std::to_string(m_admissionControl.utilization()) },
         { "room", std::to_string(m_admissionControl.admissionRatio()) },
-        { "room_below", std::to_string(m_downstreamRatios.minimum(now)) } };
+        { "room_below", std::to_string(m_downstreamRatios.minimum(now)) },
+        { "rate_limit_per_s", load.rate ? std::to_string(*load.rate) : std::string { "none" } } };
 }
 
 nlohmann::json served_requests::describeAdmissionRatio(time_point now) const
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -33,6 +33,7 @@
     std::uint64_t shed = 0; /*!< Shed by the upstream without running. */
     std::uint64_t failed = 0; /*!< No complete response; may have run. */
     std::uint64_t cancelled = 0;
+    std::uint64_t rateLimited = 0; /*!< Refused because of the rate that the upstream names. */
 };
 
 /**
@@ -116,7 +117,7 @@
     [[nodiscard]] std::optional<time_point> nextWakeup() const { return m_queue.nextWakeup(); }
 
     /** @brief Returns the current load of the upstream. */
-    [[nodiscard]] upstream_load load() const { return m_queue.load(); }
+    [[nodiscard]] upstream_load load(time_point now) const { return m_queue.load(now); }
 
     /** @brief Returns the inputs of admission decisions as log fields. */
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> describeLoad(time_point now) const;
@@ -154,8 +155,12 @@
     void cancelRequest(std::uint64_t id, time_point now, gateway_actions& actions);
     void answer(const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const;
     void updateAdmissionRatio(time_point now);
+    [[nodiscard]] slot_request makeSlotRequest(std::uint64_t id) const;
+    void applyNotices(
+        const std::string& upstream, const upstream_notices& notices, time_point now, gateway_actions& actions);
+    void setRate(std::optional<double> rate, time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
-        const served_request& request, upstream_response& response, gateway_actions& actions);
+        const served_request& request, upstream_response& response, time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
         const served_request& request, const exchange_failure& failure, gateway_actions& actions);
     void log(std::string event, const served_request& request, std::vector<std::pair<std::string, std::string>> fields,
@@ -172,6 +177,8 @@
     std::unordered_map<std::string, double> m_admissionCredits; /*!< Per entry; one per admitted request. */
     request_map m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_idsByPeer;
+    std::string m_rateUpstream; /*!< Identifier of the upstream that named the rate in force. */
+    double m_loggedRate = 0.0; /*!< Rate of the latest log line, in requests per second. */
     served_request_counters m_counters;
     std::uint64_t m_lastId = 0;
     bool m_isDraining = false;
--- a/src/knapweedcroft/gateway/upstream_queue.cpp
+++ b/src/knapweedcroft/gateway/upstream_queue.cpp
@@ -35,23 +35,42 @@
     return milliseconds::fromFraction(m_meanServiceTimeMs > 0.0 ? m_meanServiceTimeMs : internal::initialServiceTimeMs);
 }
 
-milliseconds upstream_queue::expectedWait(std::size_t ahead) const
+milliseconds upstream_queue::expectedWait(std::size_t ahead, time_point now) const
 {
     if (m_slots == 0)
         return milliseconds {};
     const double mean = m_meanServiceTimeMs > 0.0 ? m_meanServiceTimeMs : internal::initialServiceTimeMs;
-    return milliseconds::fromFraction(mean * static_cast<double>(ahead + 1) / static_cast<double>(m_slots));
+    const milliseconds slotWait
+        = milliseconds::fromFraction(mean * static_cast<double>(ahead + 1) / static_cast<double>(m_slots));
+    return std::max(slotWait, m_rateLimiter.delay(ahead, now));
 }
 
-milliseconds upstream_queue::expectedSlotWait() const { return expectedWait(m_waiting.size()); }
+milliseconds upstream_queue::expectedSlotWait(time_point now) const { return expectedWait(m_waiting.size(), now); }
 
-upstream_load upstream_queue::load() const
+double upstream_queue::usableSlots() const
+{
+    const double slots = static_cast<double>(m_slots);
+    if (!rate())
+        return slots;
+    const double mean = m_meanServiceTimeMs > 0.0 ? m_meanServiceTimeMs : internal::initialServiceTimeMs;
+    return std::min(slots, mean / m_rateLimiter.interval().count());
+}
+
+bool upstream_queue::isTooSlowFor(const slot_request& request, time_point now) const
+{
+    const milliseconds maxWait = std::max(milliseconds {}, (request.target - now) / internal::maxLateWaitDivisor);
+    return rate() && request.hasAlternative && m_rateLimiter.delay(m_waiting.size(), now) > maxWait;
+}
+
+upstream_load upstream_queue::load(time_point now) const
 {
     upstream_load load;
     load.running = static_cast<std::uint32_t>(m_running.size());
     load.queued = static_cast<std::uint32_t>(m_waiting.size());
     load.slots = m_slots;
     load.serviceTime = milliseconds::fromFraction(m_meanServiceTimeMs);
+    load.rate = rate();
+    load.startDelay = m_rateLimiter.delay(m_waiting.size(), now);
     return load;
 }
 
@@ -59,12 +78,11 @@
 {
     slot_decisions decisions;
     if (now + serviceTime(request.entry) / 2 > request.deadline) {
-        refuse(request.id, refusal_reason::deadline_unreachable, decisions);
+        refuse(request.id, refusal_reason::deadline_unreachable, now, decisions);
         return decisions;
     }
-    if (m_waiting.empty() && m_running.size() < m_slots) {
-        m_running.emplace(request.id, running_request { request.entry, now });
-        decisions.emplace_back(start_request { request.id });
+    if (m_waiting.empty() && m_running.size() < m_slots && m_rateLimiter.mayStart(now)) {
+        start(request, now, decisions);
         return decisions;
     }
     waiting_key key;
@@ -77,9 +95,39 @@
     return decisions;
 }
 
-void upstream_queue::refuse(std::uint64_t id, refusal_reason reason, slot_decisions& decisions)
+void upstream_queue::refuse(std::uint64_t id, refusal_reason reason, time_point now, slot_decisions& decisions)
 {
-    decisions.emplace_back(refuse_request { id, reason, m_jitter.spread(expectedSlotWait()) });
+    decisions.emplace_back(refuse_request { id, reason, m_jitter.spread(expectedSlotWait(now)) });
+}
+
+void upstream_queue::start(const slot_request& request, time_point now, slot_decisions& decisions)
+{
+    m_rateLimiter.recordStart(now);
+    m_running.emplace(request.id, running_request { request.entry, now });
+    decisions.emplace_back(start_request { request.id });
+}
+
+std::optional<refusal_reason> upstream_queue::reasonToRefuse(
+    const waiting_request& waiting, std::size_t ahead, time_point now) const
+{
+    const slot_request& request = waiting.request;
+    const milliseconds service = serviceTime(request.entry);
+    if (now + service / 2 > request.deadline)
+        return refusal_reason::deadline_unreachable;
+    const milliseconds waited = now - waiting.arrival;
+    const milliseconds maxLateWait = (request.target - waiting.arrival) / internal::maxLateWaitDivisor;
+    const bool isPaced = rate().has_value();
+    if (isPaced && request.hasAlternative && waited + m_rateLimiter.delay(ahead, now) > maxLateWait)
+        return refusal_reason::rate_limited;
+    const bool mayWait = request.isSubCall ? !isPaced : !request.hasAlternative && waited < maxLateWait;
+    if (mayWait)
+        return std::nullopt;
+    const time_point end = now + expectedWait(ahead, now) + service;
+    if (end > request.deadline)
+        return refusal_reason::deadline_unreachable;
+    if (end > request.target && !request.isSubCall)
+        return isPaced ? refusal_reason::rate_limited : refusal_reason::overloaded;
+    return std::nullopt;
 }
 
 // Refuses requests that cannot be served in time, and moves those that can only be late behind those that can be
@@ -90,29 +138,22 @@
     std::vector<waiting_key> newlyLate;
     std::size_t ahead = 0;
     for (const std::pair<const waiting_key, waiting_request>& item : m_waiting) {
-        const slot_request& request = item.second.request;
-        const milliseconds service = serviceTime(request.entry);
-        const time_point end = now + expectedWait(ahead) + service;
-        const milliseconds maxLateWait = (request.target - item.second.arrival) / internal::maxLateWaitDivisor;
-        const bool isDeadlineUnreachable = now + service / 2 > request.deadline;
-        const bool isLate = end > request.target;
-        const bool mayWait = request.isSubCall || (!request.hasAlternative && now - item.second.arrival < maxLateWait);
-        if (isDeadlineUnreachable || (end > request.deadline && !mayWait)) {
-            refused.emplace_back(item.first, refusal_reason::deadline_unreachable);
-        } else if (isLate && !mayWait) {
-            refused.emplace_back(item.first, refusal_reason::overloaded);
-        } else {
-            ++ahead;
-            if (isLate && !item.first.isLate)
-                newlyLate.push_back(item.first);
+        if (const std::optional<refusal_reason> reason = reasonToRefuse(item.second, ahead, now)) {
+            refused.emplace_back(item.first, *reason);
+            continue;
         }
+        const slot_request& request = item.second.request;
+        const bool isLate = now + expectedWait(ahead, now) + serviceTime(request.entry) > request.target;
+        if (isLate && !item.first.isLate)
+            newlyLate.push_back(item.first);
+        ++ahead;
     }
     for (const std::pair<waiting_key, refusal_reason>& item : refused) {
         const auto position = m_waiting.find(item.first);
         const std::uint64_t id = position->second.request.id;
         m_waiting.erase(position);
         m_keysById.erase(id);
-        refuse(id, item.second, decisions);
+        refuse(id, item.second, now, decisions);
     }
     for (const waiting_key& key : newlyLate) {
         const auto position = m_waiting.find(key);
@@ -128,13 +169,12 @@
 
 void upstream_queue::dispatch(time_point now, slot_decisions& decisions)
 {
-    while (!m_waiting.empty() && m_running.size() < m_slots) {
+    while (!m_waiting.empty() && m_running.size() < m_slots && m_rateLimiter.mayStart(now)) {
         const auto first = m_waiting.begin();
         const slot_request request = first->second.request;
         m_waiting.erase(first);
         m_keysById.erase(request.id);
-        m_running.emplace(request.id, running_request { request.entry, now });
-        decisions.emplace_back(start_request { request.id });
+        start(request, now, decisions);
     }
 }
 
@@ -210,11 +250,20 @@
     return decisions;
 }
 
-slot_decisions upstream_queue::refuseAll(refusal_reason reason)
+slot_decisions upstream_queue::setRate(std::optional<double> rate, time_point now)
+{
+    slot_decisions decisions;
+    m_rateLimiter.setRate(rate, now);
+    pruneAndReorder(now, decisions);
+    dispatch(now, decisions);
+    return decisions;
+}
+
+slot_decisions upstream_queue::refuseAll(refusal_reason reason, time_point now)
 {
     slot_decisions decisions;
     for (const std::pair<const waiting_key, waiting_request>& item : m_waiting)
-        refuse(item.second.request.id, reason, decisions);
+        refuse(item.second.request.id, reason, now, decisions);
     m_waiting.clear();
     m_keysById.clear();
     return decisions;
@@ -224,8 +273,10 @@
 {
     slot_decisions decisions;
     m_lastPoll = now;
-    if (!m_waiting.empty())
+    if (!m_waiting.empty()) {
         pruneAndReorder(now, decisions);
+        dispatch(now, decisions);
+    }
     return decisions;
 }
 
@@ -233,7 +284,9 @@
 {
     if (m_waiting.empty())
         return std::nullopt;
-    return m_lastPoll + internal::pruneInterval;
+    const time_point nextPrune = m_lastPoll + internal::pruneInterval;
+    const bool isPaced = rate() && m_running.size() < m_slots;
+    return isPaced ? std::min(nextPrune, m_rateLimiter.nextStart()) : nextPrune;
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/upstream_queue.hpp
+++ b/src/knapweedcroft/gateway/upstream_queue.hpp
@@ -4,6 +4,7 @@
 #include "knapweedcroft/core/call_result.hpp"
 #include "knapweedcroft/core/jitter.hpp"
 #include "knapweedcroft/core/time.hpp"
+#include "knapweedcroft/gateway/start_rate_limiter.hpp"
 #include "knapweedcroft/wire/messages.hpp"
 
 #include <cstdint>
@@ -54,7 +55,8 @@
 using slot_decisions = std::vector<slot_decision>;
 
 /**
- * @brief Bounds the concurrency of an upstream to its slots and queues the excess requests.
+ * @brief Bounds the concurrency of an upstream to its slots, and its rate of requests to the rate that it names, and
+ * queues the excess requests.
  *
  * During an overload of several seconds, the first-in-first-out queue of an upstream sheds requests at random, so every
  * call tree loses some calls and fails as a whole. This queue is ordered by due time instead: requests that can still
@@ -62,6 +64,9 @@
  * cannot meet its deadline is refused at once. A request that can only be late is refused at once if its sender has an
  * alternative, and otherwise after an eighth of its target latency, except for sub-calls, which wait as long as their
  * deadline can be met.
+ *
+ * An upstream that names a rate is in need, and the wait for it is known. So a request with an alternative waits for it
+ * no longer than a late one does, and a sub-call whose predicted answer misses its deadline is refused.
  */
 class upstream_queue {
 public:
@@ -96,17 +101,33 @@
      */
     [[nodiscard]] slot_decisions setSlots(std::uint32_t slots, time_point now);
 
+    /**
+     * @brief Sets the rate that the upstream has named.
+     * @param rate Requests per second, finite and not negative; nothing if the upstream names none.
+     * @return Decisions for queued requests.
+     */
+    [[nodiscard]] slot_decisions setRate(std::optional<double> rate, time_point now);
+
+    /** @brief Returns the rate that the upstream has named, in requests per second, or nothing if it names none. */
+    [[nodiscard]] const std::optional<double>& rate() const noexcept { return m_rateLimiter.rate(); }
+
+    /** @brief Returns true if the rate that the upstream has named delays a request for too long to offer it here. */
+    [[nodiscard]] bool isTooSlowFor(const slot_request& request, time_point now) const;
+
     /** @brief Refuses all queued requests. */
-    [[nodiscard]] slot_decisions refuseAll(refusal_reason reason);
+    [[nodiscard]] slot_decisions refuseAll(refusal_reason reason, time_point now);
 
-    /** @brief Refuses queued requests that can no longer be served in time. */
+    /** @brief Starts requests whose time has come, and refuses those that can no longer be served in time. */
     [[nodiscard]] slot_decisions poll(time_point now);
 
     /** @brief Returns the time at which `poll` is due, or nothing if the queue is empty. */
     [[nodiscard]] std::optional<time_point> nextWakeup() const;
 
     /** @brief Returns the current load of the upstream. */
-    [[nodiscard]] upstream_load load() const;
+    [[nodiscard]] upstream_load load(time_point now) const;
+
+    /** @brief Returns the slots that can be in use at the same time, in view of the rate that the upstream names. */
+    [[nodiscard]] double usableSlots() const;
 
     /** @brief Returns the expected service time of requests of an entry. */
     [[nodiscard]] milliseconds serviceTime(const std::string& entry) const;
@@ -118,7 +139,7 @@
     [[nodiscard]] std::vector<entry_service_time> takeChangedServiceTimes(time_point now);
 
     /** @brief Returns the expected wait for a slot of a request queued last. */
-    [[nodiscard]] milliseconds expectedSlotWait() const;
+    [[nodiscard]] milliseconds expectedSlotWait(time_point now) const;
 
 private:
     struct waiting_key {
@@ -150,8 +171,11 @@
         time_point start;
     };
 
-    [[nodiscard]] milliseconds expectedWait(std::size_t ahead) const;
-    void refuse(std::uint64_t id, refusal_reason reason, slot_decisions& decisions);
+    [[nodiscard]] milliseconds expectedWait(std::size_t ahead, time_point now) const;
+    [[nodiscard]] std::optional<refusal_reason> reasonToRefuse(
+        const waiting_request& waiting, std::size_t ahead, time_point now) const;
+    void refuse(std::uint64_t id, refusal_reason reason, time_point now, slot_decisions& decisions);
+    void start(const slot_request& request, time_point now, slot_decisions& decisions);
     void dispatch(time_point now, slot_decisions& decisions);
     void pruneAndReorder(time_point now, slot_decisions& decisions);
     void recordServiceTime(const running_request& ended, time_point now);
@@ -159,6 +183,7 @@
 
     jitter m_jitter;
     std::uint32_t m_slots = 0;
+    start_rate_limiter m_rateLimiter;
     std::uint64_t m_lastSequence = 0;
     std::map<waiting_key, waiting_request> m_waiting;
     std::unordered_map<std::uint64_t, waiting_key> m_keysById;
--- a/src/knapweedcroft/gateway/upstream_selector.cpp
+++ b/src/knapweedcroft/gateway/upstream_selector.cpp
@@ -29,6 +29,12 @@
 // A remote data centre replaces a slow local one only if its predicted latency is below this share of the local one.
 static constexpr double maxRemoteLatencyRatio = 0.8;
 
+// Returns the rest of the time until an upstream that limits its rate takes another request.
+[[nodiscard]] static milliseconds remainingStartDelay(const upstream_candidate& candidate)
+{
+    return std::max(milliseconds {}, candidate.load.startDelay - candidate.loadAge);
+}
+
 [[nodiscard]] static double decay(milliseconds age, double halfLifeMs) { return std::exp2(-age.count() / halfLifeMs); }
 
 } // namespace internal
@@ -77,7 +83,8 @@
     const double excess = std::max(0.0, usedSlots(candidate) + 1.0 - slots);
     const double slotTime = std::max(candidate.load.serviceTime.count(), 1.0);
     const double failures = decayedFailures(measured, now) * internal::failurePenaltyFactor * time;
-    return milliseconds::fromFraction(time + excess / slots * slotTime + failures);
+    return milliseconds::fromFraction(time + excess / slots * slotTime + failures)
+        + internal::remainingStartDelay(candidate);
 }
 
 // Number of slots in use or queued for: the reported load, decayed by its age, or the outstanding requests of this
@@ -92,6 +99,8 @@
 
 double upstream_selector::occupancy(const upstream_candidate& candidate) const
 {
+    if (milliseconds {} < internal::remainingStartDelay(candidate))
+        return 1.0;
     const double slots = std::max(1.0, static_cast<double>(candidate.load.slots));
     return (usedSlots(candidate) + 1.0) / slots;
 }
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -64,9 +64,18 @@
     return static_cast<std::uint64_t>(ratio * partsPerMillion);
 }
 
+// Rates are transferred in thousandths of a request per second, and no part of a load exceeds 32 bits.
+static constexpr double rateUnitsPerRequest = 1000.0;
+
 [[nodiscard]] static wire_json toJson(const upstream_load& load)
 {
-    return wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
+    wire_json list = wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
+    if (load.rate) {
+        const double maxValue = static_cast<double>(UINT32_MAX);
+        list.push_back(static_cast<std::uint64_t>(std::min(*load.rate * rateUnitsPerRequest, maxValue)));
+        list.push_back(std::min<std::int64_t>(load.startDelay.microseconds(), UINT32_MAX));
+    }
+    return list;
 }
 
 struct kind_namer {
@@ -480,22 +489,27 @@
 [[nodiscard]] static upstream_load readLoad(field_reader& reader, const char* field)
 {
     constexpr std::size_t fieldCount = 4;
-    const wire_json& list = reader.list(field, fieldCount);
+    constexpr std::size_t fieldCountWithRate = 6;
+    const wire_json& list = reader.list(field, fieldCountWithRate);
     upstream_load load;
     for (const wire_json& item : list) {
         if (!item.is_number_unsigned() || item.get<std::uint64_t>() > UINT32_MAX) {
-            reader.fail(field, "a list of four numbers");
+            reader.fail(field, "a list of four or six numbers");
             return load;
         }
     }
-    if (list.size() != fieldCount) {
-        reader.fail(field, "a list of four numbers");
+    if (list.size() != fieldCount && list.size() != fieldCountWithRate) {
+        reader.fail(field, "a list of four or six numbers");
         return load;
     }
     load.running = list[0].get<std::uint32_t>();
     load.queued = list[1].get<std::uint32_t>();
     load.slots = list[2].get<std::uint32_t>();
     load.serviceTime = milliseconds::fromMicroseconds(list[3].get<std::int64_t>());
+    if (list.size() == fieldCountWithRate) {
+        load.rate = list[4].get<double>() / rateUnitsPerRequest;
+        load.startDelay = milliseconds::fromMicroseconds(list[5].get<std::int64_t>());
+    }
     return load;
 }
 
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -182,11 +182,14 @@
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
     milliseconds serviceTime; /*!< Mean time for which a request occupies a slot. */
+    /** @brief Requests per second that the upstream takes from all nodes together; nothing if it names no limit. */
+    std::optional<double> rate {};
+    milliseconds startDelay {}; /*!< Time until the rate allows the next request to start. */
 
     friend bool operator==(const upstream_load& lhs, const upstream_load& rhs)
     {
         return lhs.running == rhs.running && lhs.queued == rhs.queued && lhs.slots == rhs.slots
-            && lhs.serviceTime == rhs.serviceTime;
+            && lhs.serviceTime == rhs.serviceTime && lhs.rate == rhs.rate && lhs.startDelay == rhs.startDelay;
     }
 };
 
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -54,9 +54,24 @@
         m_group.run(milliseconds { 1 });
     }
 
+    // Sends a node a request for its upstream, which gives a response at once.
+    void exchangeAt(const std::string& node, const upstream_response& response)
+    {
+        forward_request message;
+        message.id = call_id { ++m_lastForwardId };
+        message.service = "visits";
+        message.entry = "read";
+        message.deadline = milliseconds { 1000 };
+        message.target = milliseconds { 500 };
+        message.request.target = "/read/x";
+        m_group.handle(node, message_received { "c", message });
+        endExchange(node, response);
+    }
+
     [[nodiscard]] std::size_t exchangeCount() { return m_group.exchanges("a").size() + m_group.exchanges("b").size(); }
 
     gateway_group m_group { makeReadAndBookTable() };
+    std::uint64_t m_lastForwardId = 1000; // Above those that the nodes assign.
 };
 
 TEST_F(gateway_core_test, RefusesAsNotRunWithoutACatalogue)
@@ -359,6 +374,68 @@
     EXPECT_EQ(m_group.core("a").describe()["store_era_changes"], 1);
 }
 
+// --- upstreams that name a rate
+
+namespace {
+
+[[nodiscard]] upstream_response responseWithRate(std::optional<double> rate)
+{
+    upstream_response response;
+    response.notices.rateLimit = rate;
+    return response;
+}
+
+[[nodiscard]] double rateOf(gateway_core& core)
+{
+    return core.describe()["upstream"]["rate_limit_per_s"].get<double>();
+}
+
+} // namespace
+
+TEST_F(gateway_core_test, SendsALimitedUpstreamNoMoreThanItNames)
+{
+    for (const char* node : { "a", "b" })
+        exchangeAt(node, responseWithRate(5.0));
+    const std::size_t before = exchangeCount();
+    for (int count = 0; count < 200; ++count) {
+        sendViaC("book");
+        m_group.run(milliseconds { 19 });
+        for (const char* node : { "a", "b" }) {
+            if (m_group.core(node).describe()["upstream"]["running"] > 0)
+                endExchange(node, responseWithRate(5.0));
+        }
+    }
+    // Two upstreams x 5 per second x 4 s.
+    EXPECT_NEAR(static_cast<double>(exchangeCount() - before), 40.0, 6.0);
+    EXPECT_GT(m_group.core("a").describe()["served_requests"]["rate_limited"], 20);
+}
+
+TEST_F(gateway_core_test, KeepsALimitForAsLongAsTheUpstreamNamesIt)
+{
+    exchangeAt("a", responseWithRate(4.0));
+    EXPECT_EQ(rateOf(m_group.core("a")), 4.0);
+    m_group.run(milliseconds { 1000 });
+    upstream_response invalid;
+    invalid.notices.hasInvalidRateLimit = true;
+    exchangeAt("a", invalid);
+    EXPECT_EQ(rateOf(m_group.core("a")), 4.0) << "a limit that is no number";
+    m_group.run(milliseconds { 1000 });
+    exchangeAt("a", responseWithRate(std::nullopt));
+    EXPECT_FALSE(m_group.core("a").describe()["upstream"]["rate_limited"].get<bool>());
+}
+
+TEST_F(gateway_core_test, ForgetsTheLimitOfAnUpstreamThatWasReplaced)
+{
+    exchangeAt("a", responseWithRate(0.0));
+    upstream_announcement successor;
+    successor.incarnation = { "successor", 2 };
+    successor.service = "visits";
+    successor.address = "127.0.0.1:1";
+    successor.slots = 4;
+    m_group.handle("a", announcement_received { successor });
+    EXPECT_FALSE(m_group.core("a").describe()["upstream"]["rate_limited"].get<bool>());
+}
+
 // --- load patterns
 
 namespace {
@@ -516,4 +593,54 @@
         [](const std::pair<const std::string, int>& item) { return item.second == 1; }));
 }
 
+// Load pattern: one of two upstreams in need takes a tenth of its share. The other one has room for the rest, so no
+// request may wait for the first one or be refused.
+TEST(GatewayLoad, MovesWhatALimitedUpstreamDoesNotTake)
+{
+    gateway_group group { makeReadAndBookTable() };
+    for (const char* name : { "a", "b" })
+        group.add(name, "visits", std::string { "z-" } + name, 20);
+    group.setModel("read", { milliseconds { 50 }, "", 0 });
+    group.start();
+    group.setRateLimit("a", 10.0);
+    group.generateLoad({ { "read", 200.0 } }, milliseconds { 1000 });
+    const outcome_counts before = group.counts("read");
+    const std::size_t startedBefore = group.exchanges("a").size();
+    group.generateLoad({ { "read", 200.0 } }, milliseconds { 8000 });
+    const outcome_counts& after = group.counts("read");
+    EXPECT_GT(after.timely - before.timely, 0.98 * (after.sent - before.sent));
+    EXPECT_EQ(after.refused, before.refused);
+    const std::size_t started = group.exchanges("a").size() - startedBefore;
+    EXPECT_LE(started, 82U);
+    EXPECT_GE(started, 60U);
+    group.setRateLimit("a", std::nullopt);
+    group.generateLoad({ { "read", 200.0 } }, milliseconds { 2000 });
+    EXPECT_GT(group.exchanges("a").size() - startedBefore - started, 150U);
+}
+
+// Load pattern: all upstreams of the leaf service are in need and take half of the calls together. Whole requests are
+// refused where they enter, the least urgent ones first, in place of calls deep in the tree.
+TEST(GatewayLoad, AdmitsWhatALimitedLeafServiceTakes)
+{
+    gateway_group group { makeCallGraphTable() };
+    addCallGraph(group);
+    for (const char* zone : { "z1", "z2" })
+        group.setRateLimit(std::string { "quota-" } + zone, 250.0);
+    const std::map<std::string, double> rates { { "lookup", 60.0 }, { "filing", 40.0 }, { "balance", 40.0 } };
+    group.generateLoad(rates, milliseconds { 5000 });
+    const std::map<std::string, outcome_counts> before { { "lookup", group.counts("lookup") },
+        { "filing", group.counts("filing") }, { "balance", group.counts("balance") } };
+    group.generateLoad(rates, milliseconds { 20'000 });
+    group.run(milliseconds { 3000 });
+    const auto timelyShare = [&](const char* entry) {
+        const outcome_counts& after = group.counts(entry);
+        return static_cast<double>(after.timely - before.at(entry).timely) / (after.sent - before.at(entry).sent);
+    };
+    // 500 calls per second, less 200 for filings and 40 for balances, leave capacity for 26 of 60 lookups per second.
+    EXPECT_GT(timelyShare("filing"), 0.85);
+    EXPECT_GT(timelyShare("balance"), 0.85);
+    EXPECT_GT(timelyShare("lookup"), 0.5 * 26 / 60);
+    EXPECT_LT(group.counts("lookup").failed, 0.15 * group.counts("lookup").sent);
+}
+
 } // namespace knapweedcroft
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -235,6 +235,7 @@
         return;
     upstream_response response;
     response.response.status = isGood ? 200 : 500;
+    response.notices.rateLimit = m_nodes.at(name)->rateLimit;
     handle(name, exchange_ended { id, response });
 }
 
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -54,6 +55,9 @@
     /** @brief Multiplies the service times of a gateway's upstream from now on. */
     void setSlowdown(const std::string& name, int factor) { m_nodes.at(name)->slowdown = factor; }
 
+    /** @brief Sets the rate, in requests per second, that a gateway's upstream names in its answers from now on. */
+    void setRateLimit(const std::string& name, std::optional<double> rate) { m_nodes.at(name)->rateLimit = rate; }
+
     /** @brief Delivers announcements, directory and catalogue, and links all gateways with each other. */
     void start();
 
@@ -113,6 +117,7 @@
         gateway_settings settings;
         std::uint64_t incarnation = 0;
         std::uint32_t slots = 0;
+        std::optional<double> rateLimit;
         int slowdown = 1; /*!< Factor applied to the service times. */
         std::unique_ptr<gateway_core> core;
         store_read_mode readMode = store_read_mode::individual;
--- a/test/knapweedcroft/gateway/upstream_queue.cpp
+++ b/test/knapweedcroft/gateway/upstream_queue.cpp
@@ -52,7 +52,7 @@
     EXPECT_EQ(started(queue.offer(request(1, 1000, 2000), at(0))), id_list { 1 });
     EXPECT_EQ(started(queue.offer(request(2, 1000, 2000), at(0))), id_list { 2 });
     EXPECT_TRUE(queue.offer(request(3, 1000, 2000), at(0)).empty());
-    EXPECT_EQ(queue.load().running, 2U);
+    EXPECT_EQ(queue.load(at(0)).running, 2U);
     EXPECT_EQ(started(queue.release(1, true, at(50))), id_list { 3 });
 }
 
@@ -95,9 +95,9 @@
     static_cast<void>(queue.offer(request(1, 1000, 5000), at(0)));
     for (std::uint64_t id = 2; id < 40; ++id)
         static_cast<void>(queue.offer(request(id, 160, 5000), at(0)));
-    EXPECT_GT(queue.load().queued, 30U);
+    EXPECT_GT(queue.load(at(0)).queued, 30U);
     EXPECT_FALSE(refused(queue.poll(at(21))).empty());
-    EXPECT_LT(queue.load().queued, 10U);
+    EXPECT_LT(queue.load(at(0)).queued, 10U);
 }
 
 // A sub-call waits until its deadline becomes unreachable, because refusing it wastes the work done for its caller.
@@ -119,9 +119,9 @@
     static_cast<void>(queue.setSlots(1, at(0)));
     for (std::uint64_t id = 1; id <= 3; ++id)
         static_cast<void>(queue.offer(request(id, 1000, 5000), at(0)));
-    EXPECT_EQ(refused(queue.refuseAll(refusal_reason::draining)), (id_list { 2, 3 }));
-    EXPECT_EQ(queue.load().queued, 0U);
-    EXPECT_EQ(queue.load().running, 1U);
+    EXPECT_EQ(refused(queue.refuseAll(refusal_reason::draining, at(0))), (id_list { 2, 3 }));
+    EXPECT_EQ(queue.load(at(0)).queued, 0U);
+    EXPECT_EQ(queue.load(at(0)).running, 1U);
 }
 
 TEST(UpstreamQueue, WithdrawsWaitingAndRunningRequests)
@@ -149,4 +149,75 @@
     EXPECT_EQ(*queue.nextWakeup(), at(120));
 }
 
+// --- upstreams that name a rate
+
+namespace {
+
+// Queue of an upstream with 80 slots that has just named a rate of 10 requests per second.
+[[nodiscard]] upstream_queue makeLimitedQueue()
+{
+    upstream_queue queue { 1 };
+    static_cast<void>(queue.setSlots(80, at(0)));
+    static_cast<void>(queue.setRate(10.0, at(0)));
+    return queue;
+}
+
+} // namespace
+
+TEST(UpstreamQueue, StartsRequestsAtTheNamedRate)
+{
+    upstream_queue queue = makeLimitedQueue();
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        EXPECT_TRUE(queue.offer(request(id, 1000, 2000), at(0)).empty());
+    EXPECT_TRUE(queue.poll(at(99)).empty());
+    EXPECT_EQ(queue.nextWakeup(), at(100));
+    EXPECT_EQ(started(queue.poll(at(100))), id_list { 1 });
+    // A free slot starts nothing before its time.
+    EXPECT_TRUE(queue.release(1, true, at(150)).empty());
+    EXPECT_EQ(started(queue.poll(at(200))), id_list { 2 });
+    EXPECT_EQ(started(queue.setRate(std::nullopt, at(201))), id_list { 3 });
+}
+
+// Guards against requests that wait for a limited upstream although another one is free.
+TEST(UpstreamQueue, SendsRequestsWithAnAlternativeAwayFromALimitedUpstream)
+{
+    upstream_queue queue = makeLimitedQueue();
+    slot_request first = request(1, 880, 2000);
+    first.hasAlternative = true;
+    EXPECT_FALSE(queue.isTooSlowFor(first, at(0)));
+    static_cast<void>(queue.offer(first, at(0)));
+    slot_request second = request(2, 880, 2000);
+    second.hasAlternative = true;
+    EXPECT_TRUE(queue.isTooSlowFor(second, at(0)));
+    second.hasAlternative = false;
+    EXPECT_FALSE(queue.isTooSlowFor(second, at(0)));
+    // A lower rate sends away what waits already.
+    EXPECT_EQ(refused(queue.setRate(1.0, at(10))), id_list { 1 });
+}
+
+// Guards against calls that wait until their deadline for an upstream that cannot take them before.
+TEST(UpstreamQueue, RefusesSubCallsThatALimitedUpstreamCannotTakeInTime)
+{
+    upstream_queue queue = makeLimitedQueue();
+    std::size_t refusals = 0;
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        slot_request call = request(id, 300, 700);
+        call.isSubCall = true;
+        refusals += refused(queue.offer(call, at(0))).size();
+    }
+    EXPECT_EQ(refusals, 14U);
+    EXPECT_EQ(queue.load(at(0)).queued, 6U);
+}
+
+TEST(UpstreamQueue, ReportsTheDelayAndTheCapacityOfALimitedUpstream)
+{
+    upstream_queue queue = makeLimitedQueue();
+    static_cast<void>(queue.offer(request(1, 1000, 2000), at(0)));
+    EXPECT_EQ(queue.load(at(30)).startDelay, milliseconds { 170 });
+    EXPECT_EQ(queue.load(at(30)).rate, 10.0);
+    EXPECT_DOUBLE_EQ(queue.usableSlots(), 0.2);
+    static_cast<void>(queue.setRate(std::nullopt, at(30)));
+    EXPECT_DOUBLE_EQ(queue.usableSlots(), 80.0);
+}
+
 } // namespace knapweedcroft
--- a/test/knapweedcroft/gateway/upstream_selector.cpp
+++ b/test/knapweedcroft/gateway/upstream_selector.cpp
@@ -49,6 +49,20 @@
     EXPECT_EQ(countSelections(selector, candidates, 100, 0)["near"], 100);
 }
 
+// Guards against requests that queue for an upstream that limits its rate while another one is free. Once its next
+// request is due it gets one, since only answers tell that the limit has ended.
+TEST(UpstreamSelector, AvoidsALimitedUpstreamUntilItsNextRequestIsDue)
+{
+    upstream_selector selector { "z1", 1 };
+    std::vector<upstream_candidate> candidates { candidate("far", "z2", 0), candidate("near", "z1", 0) };
+    candidates[1].load.rate = 2.0;
+    candidates[1].load.startDelay = milliseconds { 500 };
+    candidates[1].loadAge = milliseconds { 499 };
+    EXPECT_EQ(countSelections(selector, candidates, 100, 0)["far"], 100);
+    candidates[1].loadAge = milliseconds { 500 };
+    EXPECT_EQ(countSelections(selector, candidates, 100, 0)["near"], 100);
+}
+
 // A full data centre must not queue requests while another one uses a fifth of its slots.
 TEST(UpstreamSelector, GoesToAFreeUpstreamElsewhereWhenTheOwnOneIsFull)
 {
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -92,6 +92,14 @@
     return answer;
 }
 
+[[nodiscard]] forward_answer forwardedByALimitedUpstream()
+{
+    forward_answer answer = forwardedWith(opaque_response {});
+    answer.load.rate = 12.5;
+    answer.load.startDelay = milliseconds { 80 };
+    return answer;
+}
+
 [[nodiscard]] std::vector<named_message> everyMessage()
 {
     return { { "hello",
@@ -115,7 +123,7 @@
         { "forwarded", forwardedWith(opaque_response { 418, { { "A", "\xff" }, { "A", "" } }, std::string(3, '\0') }) },
         { "forward refused",
             forwardedWith(forward_refusal { refusal_reason::draining, milliseconds { 9 }, true, true }) },
-        { "forward failed", forwardedWith(forward_failure { "reset" }) },
+        { "forward failed", forwardedWith(forward_failure { "reset" }) }, { "limited", forwardedByALimitedUpstream() },
         { "upstream status",
             upstream_status_message { "i-1", 1'700'000'000'000, true, milliseconds { 3 },
                 upstream_load { 1, 2, 3, milliseconds { 4 } }, 12 } } };
--- a/test/platform/messages.cpp
+++ b/test/platform/messages.cpp
@@ -143,6 +143,18 @@
     EXPECT_FALSE(isAnswerTo("r1", { 200, { { "X-Request-Id", "r2" } }, "" }));
 }
 
+TEST(PlatformMessages, ReadsTheLimitThatABackendNames)
+{
+    const auto noticesWith = [](const std::string& limit) {
+        return readBackendResponse({ 200, { { "server-limit", limit } }, "" }).notices;
+    };
+    EXPECT_EQ(readBackendResponse({ 200, {}, "" }).notices, upstream_notices {});
+    EXPECT_EQ(noticesWith("12.3"), (upstream_notices { 12.3, false }));
+    EXPECT_EQ(noticesWith("0"), (upstream_notices { 0.0, false }));
+    for (const char* invalid : { "", "-1", "nan", "inf", "12,3", "1e3", "12 per second" })
+        EXPECT_EQ(noticesWith(invalid), (upstream_notices { std::nullopt, true })) << invalid;
+}
+
 TEST(PlatformMessages, DecodesRecordsAsTheyWereEncoded)
 {
     const std::vector<keyed_record> records { { "a", "value" }, { "b", "" }, { "c", std::string { "\0\xff", 2 } } };
