Take an answer in which an upstream says it leaves as its leave

An upstream that says only in its answers that it leaves got requests until it ended, and those failed.

Cause: the node beside the upstream waits for an announcement or a leave, and reads nothing of the answers. A node that passed such an answer on also depends on the node beside the upstream, which forgets the leave when it starts again and takes the next announcement.

The answer counts as a leave at the node beside the upstream, before it is passed on. It carries the upstream's identifier to the node where the request began, which never selects that incarnation again.

--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -37,10 +37,12 @@
     /** @brief Requests per second that it takes from all nodes together; nothing if it names no limit. */
     std::optional<double> rateLimit;
     bool hasInvalidRateLimit = false; /*!< It names a limit that is no decimal number; the one in force stays. */
+    bool isLeaving = false; /*!< It accepts no new requests. */
 
     friend bool operator==(const upstream_notices& lhs, const upstream_notices& rhs)
     {
-        return lhs.rateLimit == rhs.rateLimit && lhs.hasInvalidRateLimit == rhs.hasInvalidRateLimit;
+        return lhs.rateLimit == rhs.rateLimit && lhs.hasInvalidRateLimit == rhs.hasInvalidRateLimit
+            && lhs.isLeaving == rhs.isLeaving;
     }
 };
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -90,8 +90,16 @@
 
 void gateway_core::on(exchange_ended& event, gateway_actions& actions)
 {
-    if (m_served.handleExchangeEnd(std::move(event), m_now, actions))
+    switch (m_served.handleExchangeEnd(std::move(event), m_now, actions)) {
+    case upstream_finding::none:
+        return;
+    case upstream_finding::unreachable:
         publishUpstreamChange("upstream_unreachable", actions);
+        return;
+    case upstream_finding::leaving:
+        publishUpstreamChange("upstream_left", actions);
+        return;
+    }
 }
 
 void gateway_core::receive(const node_name& peer, forward_request& message, gateway_actions& actions)
@@ -101,6 +109,8 @@
 
 void gateway_core::receive(const node_name& peer, forward_answer& message, gateway_actions& actions)
 {
+    if (!message.leavingUpstream.empty())
+        m_directory.markLeaving(peer, message.leavingUpstream);
     m_origin.handleAnswer(peer, std::move(message), m_now, actions);
 }
 
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -13,6 +13,7 @@
 namespace internal {
 
 static constexpr std::int64_t maxSlots = 1'000'000;
+static constexpr std::size_t maxLeavingUpstreams = 1024; // Exceeds the hosts of a fleet that is replaced at once.
 
 [[nodiscard]] static nlohmann::json toJson(const directory_record& record)
 {
@@ -80,7 +81,7 @@
         known.record.writtenAt = record.writtenAt;
         return std::exchange(known.record.peerAddress, record.peerAddress) != record.peerAddress;
     }
-    const bool isServing = record.upstream.state == upstream_state::serving;
+    const bool isServing = record.upstream.state == upstream_state::serving && !isLeaving(after.id);
     const bool isChanged
         = before != after || known.record.peerAddress != record.peerAddress || known.isServing != isServing;
     known.record = record;
@@ -149,11 +150,12 @@
     known_node& known = position->second;
     upstream_incarnation& incarnation = known.record.upstream.incarnation;
     const bool isOtherIncarnation = incarnation != upstream_incarnation { status.upstream, status.startedAt };
-    const bool isChanged = isOtherIncarnation || known.isServing != status.isServing;
+    const bool isServing = status.isServing && !isLeaving(status.upstream);
+    const bool isChanged = isOtherIncarnation || known.isServing != isServing;
     incarnation = upstream_incarnation { status.upstream, status.startedAt };
     known.record.upstream.slots = status.load.slots;
-    known.record.upstream.state = status.isServing ? upstream_state::serving : upstream_state::draining;
-    known.isServing = status.isServing;
+    known.record.upstream.state = isServing ? upstream_state::serving : upstream_state::draining;
+    known.isServing = isServing;
     known.status = status;
     known.loadReceivedAt = now;
     return isChanged;
@@ -175,6 +177,22 @@
         position->second.isServing = false;
 }
 
+void node_directory::markLeaving(const node_name& node, const std::string& upstream)
+{
+    const auto position = m_nodes.find(node);
+    if (position != m_nodes.end() && position->second.record.upstream.incarnation.id == upstream) {
+        position->second.isServing = false;
+        position->second.record.upstream.state = upstream_state::draining;
+    }
+    if (!m_leavingUpstreams.insert(upstream).second)
+        return;
+    m_leavingOrder.push_back(upstream);
+    if (m_leavingOrder.size() <= internal::maxLeavingUpstreams)
+        return;
+    m_leavingUpstreams.erase(m_leavingOrder.front());
+    m_leavingOrder.pop_front();
+}
+
 const known_node* node_directory::find(const node_name& node) const
 {
     const auto position = m_nodes.find(node);
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -7,8 +7,10 @@
 #include "knapweedcroft/wire/messages.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -89,6 +91,15 @@
     /** @brief Marks the upstream of a node as not serving until its next status message. */
     void markNotServing(const node_name& node);
 
+    /**
+     * @brief Remembers an upstream that has said that it leaves, and marks its node as not serving.
+     *
+     * The node beside the upstream may forget this when it starts again, and would offer the upstream to others.
+     * @param node Node of the upstream.
+     * @param upstream Identifier of the upstream; no later record or status makes it serve again.
+     */
+    void markLeaving(const node_name& node, const std::string& upstream);
+
     /** @brief Returns the entry of a node, or null if the node is unknown. */
     [[nodiscard]] const known_node* find(const node_name& node) const;
 
@@ -108,9 +119,12 @@
     [[nodiscard]] static result<std::vector<directory_record>> parseRecords(std::string_view text);
 
 private:
+    [[nodiscard]] bool isLeaving(const std::string& upstream) const { return m_leavingUpstreams.count(upstream) != 0; }
     [[nodiscard]] bool isAddressInUse(const directory_record& record) const;
 
     std::map<node_name, known_node> m_nodes;
+    std::set<std::string> m_leavingUpstreams; /*!< Identifiers; each incarnation has a new one. */
+    std::deque<std::string> m_leavingOrder; /*!< The same, the earliest first. */
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -203,11 +203,10 @@
             { "running", std::to_string(load.running) },
             { "room", std::to_string(admissionRatioOf(request.message.entry, now)) } },
         actions);
-    answer(request, refusal, now, actions);
+    actions.emplace_back(send_to_peer { request.peer, makeAnswer(request, refusal, now) });
 }
 
-void served_requests::answer(
-    const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const
+forward_answer served_requests::makeAnswer(const served_request& request, forward_outcome outcome, time_point now) const
 {
     const opaque_response* response = std::get_if<opaque_response>(&outcome);
     if (response != nullptr && response->body.size() > maxForwardedBytes && request.peer != m_settings.node)
@@ -220,7 +219,7 @@
     message.admissionRatio = admissionRatioOf(request.message.entry, now);
     if (request.startedAt)
         message.upstreamTime = now - *request.startedAt;
-    actions.emplace_back(send_to_peer { request.peer, std::move(message) });
+    return message;
 }
 
 void served_requests::cancelRequest(std::uint64_t id, time_point now, gateway_actions& actions)
@@ -280,39 +279,48 @@
     return forward_failure { failure.cause.message };
 }
 
-bool served_requests::handleExchangeEnd(exchange_ended event, time_point now, gateway_actions& actions)
+upstream_finding served_requests::handleExchangeEnd(exchange_ended event, time_point now, gateway_actions& actions)
 {
     const auto position = m_requests.find(event.id);
     if (position == m_requests.end())
-        return false;
+        return upstream_finding::none;
     const served_request request = extract(position);
     upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
-    if (response != nullptr && !response->isMisdirected) {
-        if (response->notices.hasInvalidRateLimit)
-            log("rate_limit_ignored", request, { { "remedy", "let the upstream name requests per second" } }, actions);
-        applyNotices(request.upstream, response->notices, now, actions);
-    }
+    const upstream_notices notices
+        = response != nullptr && !response->isMisdirected ? response->notices : upstream_notices {};
+    const bool isLeaving = notices.isLeaving && m_registry.leave(request.upstream, now);
+    if (response != nullptr && !response->isMisdirected)
+        applyNotices(request, notices, now, actions);
     recordOutcome(request, event, now);
     forward_outcome outcome
         = response != nullptr ? outcomeOf(request, *response, now, actions) : outcomeOf(request, *failure, actions);
     const bool isMeasured = response != nullptr && !response->isNotRun;
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
-    answer(request, std::move(outcome), now, actions);
+    forward_answer answer = makeAnswer(request, std::move(outcome), now);
+    if (notices.isLeaving)
+        answer.leavingUpstream = request.upstream;
+    actions.emplace_back(send_to_peer { request.peer, std::move(answer) });
     apply(decisions, now, actions);
+    if (isLeaving)
+        return upstream_finding::leaving;
     const bool isUnreachable = failure != nullptr && !failure->wasWritten;
     const bool isWrongUpstream = response != nullptr && response->isMisdirected;
-    return (isUnreachable || isWrongUpstream) && m_registry.markUnreachable(request.upstream);
+    return (isUnreachable || isWrongUpstream) && m_registry.markUnreachable(request.upstream)
+        ? upstream_finding::unreachable
+        : upstream_finding::none;
 }
 
 // The answer to a request that was sent to an earlier upstream says nothing about the current one.
 void served_requests::applyNotices(
-    const std::string& upstream, const upstream_notices& notices, time_point now, gateway_actions& actions)
+    const served_request& request, const upstream_notices& notices, time_point now, gateway_actions& actions)
 {
-    const bool isCurrent = m_registry.current() && m_registry.current()->incarnation.id == upstream;
+    if (notices.hasInvalidRateLimit)
+        log("rate_limit_ignored", request, { { "remedy", "let the upstream name requests per second" } }, actions);
+    const bool isCurrent = m_registry.current() && m_registry.current()->incarnation.id == request.upstream;
     if (!isCurrent || notices.hasInvalidRateLimit)
         return;
-    m_rateUpstream = upstream;
+    m_rateUpstream = request.upstream;
     setRate(notices.rateLimit, now, actions);
 }
 
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -36,6 +36,13 @@
     std::uint64_t rateLimited = 0; /*!< Refused because of the rate that the upstream names. */
 };
 
+/** @brief What the end of an exchange shows about the upstream of this host. */
+enum class upstream_finding : std::uint8_t {
+    none,
+    unreachable, /*!< It cannot be reached any more, or another process has replaced it. */
+    leaving /*!< It has said that it leaves. */
+};
+
 /**
  * @brief Requests for the upstream of this host, received from all nodes.
  *
@@ -69,9 +76,9 @@
 
     /**
      * @brief Handles the end of an exchange with the upstream.
-     * @return True if the upstream is newly found to be unreachable or replaced by another process.
+     * @return What is newly found.
      */
-    [[nodiscard]] bool handleExchangeEnd(exchange_ended event, time_point now, gateway_actions& actions);
+    [[nodiscard]] upstream_finding handleExchangeEnd(exchange_ended event, time_point now, gateway_actions& actions);
 
     /**
      * @brief Applies the slot count of a serving upstream, or refuses all queued requests if the upstream is not
@@ -153,11 +160,12 @@
     void start(std::uint64_t id, time_point now, gateway_actions& actions);
     void refuse(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
     void cancelRequest(std::uint64_t id, time_point now, gateway_actions& actions);
-    void answer(const served_request& request, forward_outcome outcome, time_point now, gateway_actions& actions) const;
+    [[nodiscard]] forward_answer makeAnswer(
+        const served_request& request, forward_outcome outcome, time_point now) const;
     void updateAdmissionRatio(time_point now);
     [[nodiscard]] slot_request makeSlotRequest(std::uint64_t id) const;
     void applyNotices(
-        const std::string& upstream, const upstream_notices& notices, time_point now, gateway_actions& actions);
+        const served_request& request, const upstream_notices& notices, time_point now, gateway_actions& actions);
     void setRate(std::optional<double> rate, time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
         const served_request& request, upstream_response& response, time_point now, gateway_actions& actions);
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -162,6 +162,8 @@
         header.add("k", kind_namer {}(value)).add("id", value.id.value());
         header.add("c", value.isCalledByUpstreamsOnly).add("o", toPartsPerMillion(value.admissionRatio));
         header.add("l", toJson(value.load)).add("u", value.upstreamTime.microseconds());
+        if (!value.leavingUpstream.empty())
+            header.add("v", value.leavingUpstream);
         if (const opaque_response* response = std::get_if<opaque_response>(&value.outcome))
             header.add("s", response->status).add("h", toJson(response->headers));
         if (const forward_refusal* refusal = std::get_if<forward_refusal>(&value.outcome)) {
@@ -563,6 +565,8 @@
         / partsPerMillion;
     message.load = readLoad(reader, "l");
     message.upstreamTime = readDuration(reader, "u");
+    if (reader.has("v"))
+        message.leavingUpstream = reader.text("v", maxTextBytes);
     const bool hasBody = !body.empty();
     message.outcome = readForwardOutcome(reader, std::move(body));
     if (hasBody && !std::holds_alternative<opaque_response>(message.outcome))
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -218,6 +218,7 @@
     /** @brief Admission ratio, 0 to 1: share of new work that can be admitted here and by called services. */
     double admissionRatio = 1.0;
     milliseconds upstreamTime; /*!< Time that the upstream spent on the request. */
+    std::string leavingUpstream {}; /*!< Identifier of the upstream if its answer says that it leaves; else empty. */
 };
 
 /** @brief Announces the sender's upstream to a peer; sent on each new link and on each change. */
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -436,6 +436,19 @@
     EXPECT_FALSE(m_group.core("a").describe()["upstream"]["rate_limited"].get<bool>());
 }
 
+// Guards against nodes that wait for an announcement although the upstream says in its answers that it leaves.
+TEST_F(gateway_core_test, SendsNothingToAnUpstreamThatSaysItLeaves)
+{
+    upstream_response last;
+    last.notices.isLeaving = true;
+    exchangeAt("a", last);
+    EXPECT_FALSE(m_group.core("a").describe()["upstream"]["serving"].get<bool>());
+    const std::size_t before = m_group.exchanges("a").size();
+    for (int count = 0; count < 20; ++count)
+        sendViaC("read");
+    EXPECT_EQ(m_group.exchanges("a").size(), before);
+}
+
 // --- load patterns
 
 namespace {
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -124,4 +124,36 @@
     EXPECT_FALSE(hasValue(node_directory::parseRecords(R"([{"node":"n"}])")));
 }
 
+// Guards against a node that starts again beside a leaving upstream and offers it to nodes that know better.
+TEST(NodeDirectory, KeepsALeavingUpstreamFromServingAgain)
+{
+    node_directory directory;
+    directory.onLinkOpened(hello("n"));
+    EXPECT_TRUE(directory.updateStatus("n", status(200, true), time_point {}));
+    directory.markLeaving("n", "u200");
+    EXPECT_FALSE(directory.find("n")->isServing);
+    directory.onLinkClosed("n");
+    EXPECT_FALSE(directory.apply(record("n", 200, 40)));
+    EXPECT_FALSE(directory.find("n")->isServing);
+    directory.withdraw("n");
+    directory.onLinkOpened(hello("n"));
+    directory.updateStatus("n", status(200, true), time_point {});
+    EXPECT_FALSE(directory.find("n")->isServing);
+    directory.updateStatus("n", status(300, true), time_point {});
+    EXPECT_TRUE(directory.find("n")->isServing);
+}
+
+// Guards against memory that grows with each upstream that has ever left.
+TEST(NodeDirectory, ForgetsTheEarliestOfManyLeavingUpstreams)
+{
+    node_directory directory;
+    directory.onLinkOpened(hello("n"));
+    for (int number = 1; number <= 1025; ++number)
+        directory.markLeaving("n", "u" + std::to_string(number));
+    directory.updateStatus("n", status(1, true), time_point {});
+    EXPECT_TRUE(directory.find("n")->isServing);
+    directory.updateStatus("n", status(2, true), time_point {});
+    EXPECT_FALSE(directory.find("n")->isServing);
+}
+
 } // namespace knapweedcroft
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -92,11 +92,12 @@
     return answer;
 }
 
-[[nodiscard]] forward_answer forwardedByALimitedUpstream()
+[[nodiscard]] forward_answer forwardedWithNotices()
 {
     forward_answer answer = forwardedWith(opaque_response {});
     answer.load.rate = 12.5;
     answer.load.startDelay = milliseconds { 80 };
+    answer.leavingUpstream = "i-1";
     return answer;
 }
 
@@ -123,7 +124,8 @@
         { "forwarded", forwardedWith(opaque_response { 418, { { "A", "\xff" }, { "A", "" } }, std::string(3, '\0') }) },
         { "forward refused",
             forwardedWith(forward_refusal { refusal_reason::draining, milliseconds { 9 }, true, true }) },
-        { "forward failed", forwardedWith(forward_failure { "reset" }) }, { "limited", forwardedByALimitedUpstream() },
+        { "forward failed", forwardedWith(forward_failure { "reset" }) },
+        { "forwarded with notices", forwardedWithNotices() },
         { "upstream status",
             upstream_status_message { "i-1", 1'700'000'000'000, true, milliseconds { 3 },
                 upstream_load { 1, 2, 3, milliseconds { 4 } }, 12 } } };
--- a/test/platform/messages.cpp
+++ b/test/platform/messages.cpp
@@ -149,10 +149,17 @@
         return readBackendResponse({ 200, { { "server-limit", limit } }, "" }).notices;
     };
     EXPECT_EQ(readBackendResponse({ 200, {}, "" }).notices, upstream_notices {});
-    EXPECT_EQ(noticesWith("12.3"), (upstream_notices { 12.3, false }));
-    EXPECT_EQ(noticesWith("0"), (upstream_notices { 0.0, false }));
+    EXPECT_EQ(noticesWith("12.3"), (upstream_notices { 12.3, false, false }));
+    EXPECT_EQ(noticesWith("0"), (upstream_notices { 0.0, false, false }));
     for (const char* invalid : { "", "-1", "nan", "inf", "12,3", "1e3", "12 per second" })
-        EXPECT_EQ(noticesWith(invalid), (upstream_notices { std::nullopt, true })) << invalid;
+        EXPECT_EQ(noticesWith(invalid), (upstream_notices { std::nullopt, true, false })) << invalid;
+}
+
+TEST(PlatformMessages, ReadsThatABackendLeaves)
+{
+    EXPECT_TRUE(readBackendResponse({ 200, { { "server-leaving", "1" } }, "" }).notices.isLeaving);
+    EXPECT_FALSE(readBackendResponse({ 200, { { "Server-Leaving", "0" } }, "" }).notices.isLeaving);
+    EXPECT_FALSE(readBackendResponse({ 200, {}, "" }).notices.isLeaving);
 }
 
 TEST(PlatformMessages, DecodesRecordsAsTheyWereEncoded)
--- a/test/platform/soak/fake_upstream.cpp
+++ b/test/platform/soak/fake_upstream.cpp
@@ -154,7 +154,7 @@
     const std::string id = running.id + ".1." + std::to_string(number);
     call.headers = { { "Host", m_location.hostName }, { "X-Request-Id", id },
         { "X-Deadline-Ms", std::to_string(std::max<std::int64_t>(1, (running.deadline - m_clock.now()).whole())) } };
-    m_ledger.recordSent(id, m_location.node, *inner);
+    m_ledger.recordSent(id, m_location.node, *inner, m_clock.now());
     running.callId = id;
     running.exchange = m_calls.start(
         m_location.outbound, call, [](const opaque_response&) { return true; },
@@ -189,6 +189,8 @@
 
 void fake_upstream::addNotices(opaque_response& response)
 {
+    if (m_isLeaving)
+        response.headers.emplace_back("Server-Leaving", "1");
     if (m_rateLimit)
         response.headers.emplace_back("Server-Limit", std::to_string(*m_rateLimit));
     if (std::exchange(m_namedLimit, m_rateLimit) != m_rateLimit)
--- a/test/platform/soak/fake_upstream.hpp
+++ b/test/platform/soak/fake_upstream.hpp
@@ -70,6 +70,9 @@
     /** @brief Sets the limit, in requests per second, that it names in its answers; nothing if it names none. */
     void setRateLimit(std::optional<double> limit) { m_rateLimit = limit; }
 
+    /** @brief Sets whether it says in its answers that it leaves. */
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+
 private:
     struct job {
         std::uint64_t request = 0; // Request id at the server.
@@ -109,6 +112,7 @@
     bool m_shouldDropResponses = false;
     full_behaviour m_onFull;
     std::size_t m_hungRequests = 0;
+    bool m_isLeaving = false;
     std::optional<double> m_rateLimit;
     std::optional<double> m_namedLimit; /*!< Limit that the latest answer named. */
 };
--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -38,7 +38,9 @@
     connections_silenced, /*!< All open connections to the store fall silent for good; new ones work. */
     kill_some, /*!< SIGKILL of every second node. */
     node_reload, /*!< The settings file changes, and SIGHUP reports it. */
-    upstream_limited /*!< The upstream names a limit on its rate of requests in its answers. */
+    upstream_limited, /*!< The upstream names a limit on its rate of requests in its answers. */
+    /** @brief The upstream says in its answers only that it leaves; a new incarnation starts when the fault ends. */
+    upstream_leaving
 };
 
 [[nodiscard]] std::string_view toString(fault_kind kind);
--- a/test/platform/soak/notice_ledger.cpp
+++ b/test/platform/soak/notice_ledger.cpp
@@ -17,17 +17,37 @@
 {
     const std::optional<std::string> upstream = findHeader(response.headers, "X-Response-Signature");
     if (upstream && findHeader(response.headers, "Server-Limit"))
-        m_toldAt[node].emplace(*upstream, now);
+        m_limitToldAt[node].emplace(*upstream, now);
+    if (upstream && findHeader(response.headers, "Server-Leaving"))
+        m_leaveToldAt[node].emplace(*upstream, now);
 }
 
-void notice_ledger::recordArrival(const std::string& upstream, const std::string& node, time_point now)
+void notice_ledger::recordDisturbance(const std::string& node)
 {
-    const auto told = m_toldAt.find(node);
-    if (told == m_toldAt.end())
-        return;
-    const auto toldAt = told->second.find(upstream);
-    if (toldAt != told->second.end() && toldAt->second + m_bounds.passedOn <= now)
+    m_limitToldAt.erase(node);
+    m_leaveToldAt.erase(node);
+}
+
+std::optional<time_point> notice_ledger::find(
+    const told_times& told, const std::string& node, const std::string& upstream)
+{
+    const auto ofNode = told.find(node);
+    if (ofNode == told.end())
+        return std::nullopt;
+    const auto position = ofNode->second.find(upstream);
+    return position == ofNode->second.end() ? std::nullopt : std::optional { position->second };
+}
+
+void notice_ledger::recordArrival(
+    const std::string& upstream, const std::string& node, time_point sentAt, time_point now)
+{
+    const std::optional<time_point> limitToldAt = find(m_limitToldAt, node, upstream);
+    if (limitToldAt && *limitToldAt + m_bounds.passedOn <= now)
         m_arrivals[upstream].push_back(now);
+    const std::optional<time_point> leaveToldAt = find(m_leaveToldAt, node, upstream);
+    if (leaveToldAt && *leaveToldAt + m_bounds.drain < sentAt)
+        m_afterLeave.push_back(upstream + ": received a request that " + node + " got "
+            + std::to_string((sentAt - *leaveToldAt).whole()) + " ms after it had passed on that the upstream leaves");
 }
 
 std::size_t notice_ledger::countWindow(const arrival_times& arrivals, std::size_t first) const
@@ -76,7 +96,7 @@
 
 std::vector<std::string> notice_ledger::violations() const
 {
-    std::vector<std::string> found;
+    std::vector<std::string> found = m_afterLeave;
     for (const std::pair<const std::string, arrival_times>& item : m_arrivals) {
         for (std::size_t first = 0; first < item.second.size(); ++first) {
             const std::optional<double> allowed = allowance(item.first, item.second[first]);
--- a/test/platform/soak/notice_ledger.hpp
+++ b/test/platform/soak/notice_ledger.hpp
@@ -13,13 +13,15 @@
 
 namespace knapweedcroft::platform {
 
-/** @brief Bounds on what an upstream receives after it has named a limit. */
+/** @brief Bounds on what an upstream receives after it has named a limit or said that it leaves. */
 struct notice_bounds {
     milliseconds contact { 500 }; /*!< From the first naming of a limit; the platform's rule allows 3 s. */
     milliseconds passedOn { 500 }; /*!< A node counts from this long after it passed on an answer with the limit. */
     milliseconds window { 4000 };
     double ratio = 1.5; /*!< Of what the limit allows in a window. */
     double slack = 5.0; /*!< Further requests in a window. */
+    /** @brief From the answer in which an upstream says that it leaves; the platform's rule allows 2 s. */
+    milliseconds drain { 0 };
 };
 
 /**
@@ -42,11 +44,11 @@
     /** @brief Records that a caller received a response from a node. */
     void recordResponse(const std::string& node, const opaque_response& response, time_point now);
 
-    /** @brief Records that a request which began at a node reached an upstream. */
-    void recordArrival(const std::string& upstream, const std::string& node, time_point now);
+    /** @brief Records that a request which a caller sent to a node reached an upstream. */
+    void recordArrival(const std::string& upstream, const std::string& node, time_point sentAt, time_point now);
 
     /** @brief Records that the process of a node was killed, frozen or stopped, or has started. */
-    void recordDisturbance(const std::string& node) { m_toldAt.erase(node); }
+    void recordDisturbance(const std::string& node);
 
     /** @brief Returns the greatest number of requests in a window in which a limit bound their nodes. */
     [[nodiscard]] std::size_t maxCounted() const;
@@ -61,13 +63,19 @@
     };
 
     using arrival_times = std::vector<time_point>;
+    using told_times = std::map<std::string, std::map<std::string, time_point>>; /*!< By node and upstream. */
+
+    [[nodiscard]] static std::optional<time_point> find(
+        const told_times& told, const std::string& node, const std::string& upstream);
 
     [[nodiscard]] std::size_t countWindow(const arrival_times& arrivals, std::size_t first) const;
     [[nodiscard]] std::optional<double> allowance(const std::string& upstream, time_point from) const;
 
     notice_bounds m_bounds;
     std::map<std::string, std::vector<limit_period>> m_limits; /*!< By upstream, in the order of time. */
-    std::map<std::string, std::map<std::string, time_point>> m_toldAt; /*!< By node and upstream. */
+    told_times m_limitToldAt;
+    told_times m_leaveToldAt;
+    std::vector<std::string> m_afterLeave; /*!< A message for each request that reached a leaving upstream. */
     std::map<std::string, arrival_times> m_arrivals; /*!< Of requests from nodes that had been told, by upstream. */
 };
 
--- a/test/platform/soak/notice_ledger_test.cpp
+++ b/test/platform/soak/notice_ledger_test.cpp
@@ -17,10 +17,12 @@
         m_ledger.recordResponse("n", m_answer, at(100));
     }
 
+    void recordArrival(std::int64_t ms) { m_ledger.recordArrival("u", "n", at(ms), at(ms)); }
+
     void recordArrivals(std::size_t count, std::int64_t fromMs, std::int64_t intervalMs)
     {
         for (std::size_t number = 0; number < count; ++number)
-            m_ledger.recordArrival("u", "n", at(fromMs + static_cast<std::int64_t>(number) * intervalMs));
+            recordArrival(fromMs + static_cast<std::int64_t>(number) * intervalMs);
     }
 
     opaque_response m_answer { 200, { { "X-Response-Signature", "u" }, { "Server-Limit", "10.0" } }, {} };
@@ -35,7 +37,7 @@
     recordArrivals(65, 1000, 50);
     EXPECT_EQ(m_ledger.violations().size(), 0U);
     EXPECT_EQ(m_ledger.maxCounted(), 65U);
-    m_ledger.recordArrival("u", "n", at(4990));
+    recordArrival(4990);
     EXPECT_EQ(m_ledger.violations().size(), 1U);
 }
 
@@ -63,7 +65,20 @@
     m_ledger.recordLimit("u", 100.0, at(3000));
     recordArrivals(335, 1000, 11);
     EXPECT_EQ(m_ledger.violations().size(), 0U);
-    m_ledger.recordArrival("u", "n", at(4999));
+    recordArrival(4999);
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+}
+
+TEST_F(notice_ledger_test, FindsARequestToALeavingUpstream)
+{
+    m_ledger.recordResponse("n", { 200, { { "X-Response-Signature", "u" }, { "Server-Leaving", "1" } }, {} }, at(200));
+    m_ledger.recordArrival("u", "n", at(200), at(300));
+    m_ledger.recordArrival("u", "other", at(400), at(400));
+    EXPECT_EQ(m_ledger.violations().size(), 0U);
+    m_ledger.recordArrival("u", "n", at(201), at(300));
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+    m_ledger.recordDisturbance("n");
+    m_ledger.recordArrival("u", "n", at(500), at(500));
     EXPECT_EQ(m_ledger.violations().size(), 1U);
 }
 
--- a/test/platform/soak/request_ledger.cpp
+++ b/test/platform/soak/request_ledger.cpp
@@ -26,10 +26,11 @@
 
 } // namespace internal
 
-void request_ledger::recordSent(const std::string& id, const std::string& node, const soak_entry& entry)
+void request_ledger::recordSent(const std::string& id, const std::string& node, const soak_entry& entry, time_point now)
 {
     request& added = m_requests[id];
     added.node = node;
+    added.sentAt = now;
     added.service = entry.service;
     added.path = entry.path;
     added.isIdempotent = entry.isIdempotent;
@@ -54,7 +55,7 @@
 {
     request& seen = m_requests[id];
     ++seen.arrivals;
-    m_notices.recordArrival(upstream, seen.node, now);
+    m_notices.recordArrival(upstream, seen.node, seen.sentAt, now);
 }
 
 void request_ledger::exemptOpenRequests(const std::string& node)
--- a/test/platform/soak/request_ledger.hpp
+++ b/test/platform/soak/request_ledger.hpp
@@ -35,7 +35,7 @@
     };
 
     /** @brief Records a request that a client or an upstream sends to a node. */
-    void recordSent(const std::string& id, const std::string& node, const soak_entry& entry);
+    void recordSent(const std::string& id, const std::string& node, const soak_entry& entry, time_point now);
 
     /** @brief Records the outcome of a request at its caller. */
     void recordEnd(const std::string& id, const exchange_outcome& outcome, time_point now);
@@ -79,6 +79,7 @@
 private:
     struct request {
         std::string node;
+        time_point sentAt;
         std::string service;
         std::string path;
         bool isIdempotent = false;
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -335,6 +335,8 @@
             continue;
         if (!isUnder(*host, &isNodeFault))
             endNodeFault(*host);
+        if (fault.kind == fault_kind::upstream_leaving)
+            host->upstream->crash();
         if (!isUnder(*host, [](fault_kind kind) { return kind == fault_kind::upstream_crash; }))
             host->upstream->start();
     }
@@ -372,6 +374,7 @@
     relay_mode store = relay_mode::forwarding;
     int serviceTimeFactor = 1;
     bool dropsResponses = false;
+    bool isLeaving = false;
     std::optional<double> rateLimit;
     for (const planned_fault& fault : m_activeFaults) {
         if (!isAffected(fault, host))
@@ -380,6 +383,7 @@
         store = storeMode(fault.kind).value_or(store);
         serviceTimeFactor = fault.kind == fault_kind::upstream_slow ? internal::slowFactor : serviceTimeFactor;
         dropsResponses = dropsResponses || fault.kind == fault_kind::upstream_answers_lost;
+        isLeaving = isLeaving || fault.kind == fault_kind::upstream_leaving;
         if (fault.kind == fault_kind::upstream_limited)
             rateLimit = internal::upstreamRateLimit;
     }
@@ -390,6 +394,7 @@
     host.upstream->setServiceTimeFactor(serviceTimeFactor);
     host.upstream->setDropsResponses(dropsResponses);
     host.upstream->setRateLimit(rateLimit);
+    host.upstream->setLeaving(isLeaving);
     updateDisturbance(host);
 }
 
@@ -416,7 +421,7 @@
 void soak_run::send(soak_host& host, const soak_entry& entry)
 {
     const std::string id = "c" + std::to_string(++m_lastRequest);
-    m_ledger.recordSent(id, host.node, entry);
+    m_ledger.recordSent(id, host.node, entry, m_clock.now());
     const std::uint64_t exchange = m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
         [](const opaque_response&) { return true; },
@@ -445,7 +450,7 @@
     const soak_entry entry = entryOfVersion(version);
     const std::string id = "p" + std::to_string(++m_lastRequest);
     configuration_probe probe { host.node, host.starts, version, m_clock.now(), {}, false };
-    m_ledger.recordSent(id, host.node, entry);
+    m_ledger.recordSent(id, host.node, entry, m_clock.now());
     m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
         [](const opaque_response&) { return true; },
@@ -465,7 +470,7 @@
 bool soak_run::awaitSuccess(soak_host& host, const soak_entry& entry)
 {
     const std::string id = "r" + std::to_string(++m_lastRequest);
-    m_ledger.recordSent(id, host.node, entry);
+    m_ledger.recordSent(id, host.node, entry, m_clock.now());
     std::optional<exchange_outcome> outcome;
     m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry),
--- a/test/platform/soak/upstream_notices.cpp
+++ b/test/platform/soak/upstream_notices.cpp
@@ -32,4 +32,19 @@
         { fault_kind::upstream_limited, 1, milliseconds { 500 }, milliseconds { 7000 } } }));
 }
 
+// Guards against nodes that wait for an announcement although an upstream says in its answers that it leaves.
+TEST(UpstreamNotices, SendNothingMoreToAnUpstreamThatSaysItLeaves)
+{
+    expectNoViolation(play({ { fault_kind::upstream_leaving, 0, milliseconds { 1000 }, milliseconds { 4000 } },
+        { fault_kind::upstream_leaving, 3, milliseconds { 2000 }, milliseconds { 4000 } } }));
+}
+
+// Guards against nodes that passed on that an upstream leaves, and forget it when the node beside that upstream starts
+// again.
+TEST(UpstreamNotices, OutliveTheNodeBesideAnUpstreamThatSaysItLeaves)
+{
+    expectNoViolation(play({ { fault_kind::upstream_leaving, 0, milliseconds { 1000 }, milliseconds { 6000 } },
+        { fault_kind::node_kill, 0, milliseconds { 2500 }, milliseconds { 200 } } }));
+}
+
 } // namespace knapweedcroft::platform
