Report to a node that starts again what its upstream has said

A node that starts again beside a limited upstream forgets the limit, and the other nodes, which have passed it on, send through it what they like until the next answer.

Cause: the limit is state of one process that is learned from answers only. The other nodes see the same answers and keep nothing of them.

Each node keeps the latest rate and the leave of the upstreams whose answers it received, and reports them on a new link. The report counts until the upstream answers the new process.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -479,6 +479,8 @@
     m_connectTimes.erase(hello.node);
     m_connectingSince.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, makeStatus() });
+    if (const std::optional<reported_notices_message> notices = m_directory.noticesFor(hello.node))
+        actions.emplace_back(send_to_peer { hello.node, *notices });
     if (isLocalReplica(hello.node)) {
         entry_callers_message callers { m_served.callerSummary() };
         if (!callers.counts.empty())
@@ -661,6 +663,16 @@
     m_origin.handleServiceTimes(peer, message, m_now);
 }
 
+void gateway_core::receive(const node_name& peer, const reported_notices_message& message, gateway_actions& actions)
+{
+    actions.emplace_back(internal::makeLogLine(log_level::info, "upstream_notices_reported",
+        { { "peer", peer }, { "upstream", message.upstream }, { "leaving", message.isLeaving ? "true" : "false" },
+            { "rate_per_s", message.rate ? std::to_string(*message.rate) : "none" } }));
+    m_served.handleReportedRate(message, m_now, actions);
+    if (message.isLeaving && m_registry.leave(message.upstream, m_now))
+        publishUpstreamChange("upstream_left", actions);
+}
+
 void gateway_core::shareMeasurements(gateway_actions& actions)
 {
     if (m_now - m_measurementsSharedAt < internal::shareInterval)
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -95,6 +95,7 @@
     void receive(const node_name& peer, const store_progress_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const entry_callers_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const service_times_message& message, gateway_actions& actions);
+    void receive(const node_name& peer, const reported_notices_message& message, gateway_actions& actions);
     template <typename Message> void receive(const node_name&, const Message&, gateway_actions&) { }
 
     void applyTable(const std::shared_ptr<const entry_table>& table, std::string_view source, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -161,13 +161,31 @@
     return isChanged;
 }
 
-void node_directory::updateLoad(const node_name& node, const upstream_load& load, time_point now)
+void node_directory::updateLoad(const node_name& node, const upstream_load& load, bool isFromUpstream, time_point now)
 {
     const auto position = m_nodes.find(node);
     if (position == m_nodes.end() || !position->second.status)
         return;
     position->second.status->load = load;
     position->second.loadReceivedAt = now;
+    if (!isFromUpstream)
+        return;
+    position->second.namedRate.reset();
+    if (load.rate)
+        position->second.namedRate = named_rate { position->second.status->upstream, *load.rate };
+}
+
+std::optional<reported_notices_message> node_directory::noticesFor(const node_name& node) const
+{
+    const known_node* known = find(node);
+    if (known == nullptr)
+        return std::nullopt;
+    reported_notices_message message;
+    message.upstream = known->record.upstream.incarnation.id;
+    message.isLeaving = isLeaving(message.upstream);
+    if (known->namedRate && known->namedRate->upstream == message.upstream)
+        message.rate = known->namedRate->rate;
+    return message.isLeaving || message.rate ? std::optional { message } : std::nullopt;
 }
 
 void node_directory::markNotServing(const node_name& node)
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -32,6 +32,12 @@
     [[nodiscard]] static result<directory_record> parse(std::string_view text);
 };
 
+/** @brief Rate that an upstream has named in its latest answer. */
+struct named_rate {
+    std::string upstream; /*!< Identifier of the upstream. */
+    double rate = 0.0; /*!< Requests per second. */
+};
+
 /** @brief Directory entry of a node: its record, the state of its link and the status of its upstream. */
 struct known_node {
     directory_record record;
@@ -40,6 +46,7 @@
     bool isServing = false; /*!< Its upstream accepted new requests when last heard of. */
     std::optional<upstream_status_message> status; /*!< Latest status received on the link. */
     time_point loadReceivedAt; /*!< When the load in `status` was received. */
+    std::optional<named_rate> namedRate; /*!< Outlives the link; nothing if the upstream names none. */
 };
 
 /**
@@ -85,8 +92,15 @@
      */
     bool updateStatus(const node_name& node, const upstream_status_message& status, time_point now);
 
-    /** @brief Updates the load of a node's upstream, as received with an answer; ignored without a status. */
-    void updateLoad(const node_name& node, const upstream_load& load, time_point now);
+    /**
+     * @brief Updates the load of a node's upstream, as received with an answer; ignored without a status.
+     * @param isFromUpstream True if the upstream itself gave the answer, so that the rate is the one that it named.
+     */
+    void updateLoad(const node_name& node, const upstream_load& load, bool isFromUpstream, time_point now);
+
+    /** @brief Returns what to report to a node about its upstream, or nothing if this node knows nothing of interest.
+     */
+    [[nodiscard]] std::optional<reported_notices_message> noticesFor(const node_name& node) const;
 
     /** @brief Marks the upstream of a node as not serving until its next status message. */
     void markNotServing(const node_name& node);
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -159,7 +159,7 @@
 void origin_requests::handleAnswer(
     const node_name& peer, forward_answer answer, time_point now, gateway_actions& actions)
 {
-    m_directory.updateLoad(peer, answer.load, now);
+    m_directory.updateLoad(peer, answer.load, std::holds_alternative<opaque_response>(answer.outcome), now);
     const std::uint64_t id = answer.id.value();
     const auto position = m_requests.find(id);
     if (position == m_requests.end() || position->second.node != peer)
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -337,14 +337,30 @@
     m_loggedRate = rate.value_or(0.0);
     write_log line;
     line.event = rate ? "upstream_rate_limited" : "upstream_rate_limit_ended";
-    line.fields = { { "upstream", m_rateUpstream }, { "rate_per_s", std::to_string(m_loggedRate) } };
+    line.fields
+        = { { "upstream", m_registry.current()->incarnation.id }, { "rate_per_s", std::to_string(m_loggedRate) } };
     actions.emplace_back(std::move(line));
 }
 
+// Without an answer of the current upstream to this process, the report of a peer counts.
+void served_requests::resetRate(time_point now, gateway_actions& actions)
+{
+    if (!m_registry.current() || m_registry.current()->incarnation.id == m_rateUpstream)
+        return;
+    const bool isReported = m_registry.current()->incarnation.id == m_reported.upstream;
+    setRate(isReported ? m_reported.rate : std::nullopt, now, actions);
+}
+
+void served_requests::handleReportedRate(
+    const reported_notices_message& message, time_point now, gateway_actions& actions)
+{
+    m_reported = message;
+    resetRate(now, actions);
+}
+
 void served_requests::handleUpstreamChange(time_point now, gateway_actions& actions)
 {
-    if (m_registry.current() && m_registry.current()->incarnation.id != m_rateUpstream)
-        setRate(std::nullopt, now, actions);
+    resetRate(now, actions);
     if (m_registry.isServing()) {
         apply(m_queue.setSlots(m_registry.current()->slots, now), now, actions);
         return;
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -86,6 +86,12 @@
      */
     void handleUpstreamChange(time_point now, gateway_actions& actions);
 
+    /**
+     * @brief Uses the rate that the upstream of this host named in an answer to another node, until the upstream
+     * answers this process.
+     */
+    void handleReportedRate(const reported_notices_message& message, time_point now, gateway_actions& actions);
+
     /** @brief Sets the services that have hosts in the data centre of this node. */
     void setServices(std::set<service_name> services) { m_originClassifier.setServices(std::move(services)); }
 
@@ -167,6 +173,7 @@
     void applyNotices(
         const served_request& request, const upstream_notices& notices, time_point now, gateway_actions& actions);
     void setRate(std::optional<double> rate, time_point now, gateway_actions& actions);
+    void resetRate(time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
         const served_request& request, upstream_response& response, time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
@@ -186,6 +193,7 @@
     request_map m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_idsByPeer;
     std::string m_rateUpstream; /*!< Identifier of the upstream that named the rate in force. */
+    reported_notices_message m_reported; /*!< Latest report of a peer; without an identifier if there is none. */
     double m_loggedRate = 0.0; /*!< Rate of the latest log line, in requests per second. */
     served_request_counters m_counters;
     std::uint64_t m_lastId = 0;
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -67,12 +67,16 @@
 // Rates are transferred in thousandths of a request per second, and no part of a load exceeds 32 bits.
 static constexpr double rateUnitsPerRequest = 1000.0;
 
+[[nodiscard]] static std::uint64_t toRateUnits(double rate)
+{
+    return static_cast<std::uint64_t>(std::min(rate * rateUnitsPerRequest, static_cast<double>(UINT32_MAX)));
+}
+
 [[nodiscard]] static wire_json toJson(const upstream_load& load)
 {
     wire_json list = wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
     if (load.rate) {
-        const double maxValue = static_cast<double>(UINT32_MAX);
-        list.push_back(static_cast<std::uint64_t>(std::min(*load.rate * rateUnitsPerRequest, maxValue)));
+        list.push_back(toRateUnits(*load.rate));
         list.push_back(std::min<std::int64_t>(load.startDelay.microseconds(), UINT32_MAX));
     }
     return list;
@@ -97,6 +101,7 @@
     std::string_view operator()(const upstream_status_message&) const { return "upstream"; }
     std::string_view operator()(const entry_callers_message&) const { return "entry_callers"; }
     std::string_view operator()(const service_times_message&) const { return "service_times"; }
+    std::string_view operator()(const reported_notices_message&) const { return "reported_notices"; }
 };
 
 struct header_writer {
@@ -182,6 +187,15 @@
             { "load", toJson(value.load) }, { "catalogue", value.catalogueVersion } };
     }
 
+    wire_json operator()(const reported_notices_message& value) const
+    {
+        map_builder header;
+        header.add("k", kind_namer {}(value)).add("upstream", value.upstream).add("leaving", value.isLeaving);
+        if (value.rate)
+            header.add("rate", toRateUnits(*value.rate));
+        return header.take();
+    }
+
     wire_json operator()(const entry_callers_message& value) const
     {
         wire_json counts = wire_json::array();
@@ -613,6 +627,16 @@
     return service_times_message { readItems(reader, "times", maxNames, &readServiceTime) };
 }
 
+[[nodiscard]] static peer_message readReportedNotices(field_reader& reader, std::string&&)
+{
+    reported_notices_message message;
+    message.upstream = reader.text("upstream", maxTextBytes);
+    message.isLeaving = reader.boolean("leaving");
+    if (reader.has("rate"))
+        message.rate = static_cast<double>(reader.unsignedInteger("rate", UINT32_MAX)) / rateUnitsPerRequest;
+    return message;
+}
+
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
 {
     return cancel_message { call_id { reader.unsignedInteger("id") } };
@@ -725,7 +749,8 @@
     { "catch_up_request", &readCatchUpRequest, false }, { "catch_up", &readCatchUp, false },
     { "store_progress", &readStoreProgress, false }, { "fwd", &readForward, true },
     { "fwd_ans", &readForwardAnswer, true }, { "upstream", &readUpstreamStatus, false },
-    { "entry_callers", &readEntryCallers, false }, { "service_times", &readServiceTimes, false } };
+    { "entry_callers", &readEntryCallers, false }, { "service_times", &readServiceTimes, false },
+    { "reported_notices", &readReportedNotices, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -264,11 +264,22 @@
     std::vector<entry_caller_count> counts;
 };
 
+/**
+ * @brief Reports to a node what its upstream has said in answers that the sender received; sent on a new link.
+ *
+ * A node that has started again does not know it before the next answer of its upstream.
+ */
+struct reported_notices_message {
+    std::string upstream; /*!< Identifier of the upstream. */
+    std::optional<double> rate; /*!< Requests per second; nothing if it named no limit. */
+    bool isLeaving = false;
+};
+
 /** @brief Message between two nodes. */
 using peer_message = std::variant<hello_message, call_request, call_answer, cancel_message, ping_message, pong_message,
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
     catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message,
-    entry_callers_message, service_times_message>;
+    entry_callers_message, service_times_message, reported_notices_message>;
 
 /**
  * @brief Returns the call that a message requests the receiver to run.
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -436,6 +436,31 @@
     EXPECT_FALSE(m_group.core("a").describe()["upstream"]["rate_limited"].get<bool>());
 }
 
+// Guards against a node that starts again beside a limited upstream and sends it everything until the first answer.
+TEST_F(gateway_core_test, LearnsTheLimitOfItsUpstreamFromPeers)
+{
+    exchangeAt("a", responseWithRate(2.0));
+    const gateway_actions actions
+        = m_group.core("c").handle(link_opened { m_group.core("a").makeHello() }, m_group.now(), m_group.now());
+    const auto report = std::find_if(actions.begin(), actions.end(), [](const gateway_action& action) {
+        const send_to_peer* sent = std::get_if<send_to_peer>(&action);
+        return sent != nullptr && std::holds_alternative<reported_notices_message>(sent->message);
+    });
+    ASSERT_NE(report, actions.end());
+    const peer_message& message = std::get<send_to_peer>(*report).message;
+    EXPECT_EQ(std::get<reported_notices_message>(message).upstream, "upstream of a");
+    EXPECT_EQ(std::get<reported_notices_message>(message).rate, 2.0);
+
+    m_group.add("d", "visits", "z1", 4);
+    m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false } });
+    m_group.run(milliseconds { 1 });
+    EXPECT_EQ(rateOf(m_group.core("d")), 3.0);
+    m_group.run(milliseconds { 400 });
+    exchangeAt("d", responseWithRate(std::nullopt));
+    m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false } });
+    EXPECT_EQ(rateOf(m_group.core("d")), 0.0) << "the upstream has answered this process";
+}
+
 // Guards against nodes that wait for an announcement although the upstream says in its answers that it leaves.
 TEST_F(gateway_core_test, SendsNothingToAnUpstreamThatSaysItLeaves)
 {
--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -65,6 +65,8 @@
      * that the faults also hit the hand-over between readers. */
     std::size_t sharedReadingFrom = 2;
     milliseconds loadDuration { 6000 }; /*!< Time for which clients send requests; all faults end before. */
+    double upstreamRateLimit
+        = 12.5; /*!< Requests per second that a limited upstream names; the load offers some 100. */
     bool hasProbes = false; /*!< Clients also send requests for routes that only one version has. */
     std::vector<planned_fault> faults; /*!< Ordered by start time. */
 };
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -34,7 +34,6 @@
 static constexpr milliseconds stopTimeout { 45'000 };
 static constexpr std::size_t maxAttempts = 2;
 static constexpr int slowFactor = 10;
-static constexpr double upstreamRateLimit = 12.5; // Requests per second; the load offers some 100.
 static constexpr std::int64_t graceMs = 5000;
 static constexpr milliseconds copyAge { 1000 };
 static constexpr double retryRatio = 0.2;
@@ -385,7 +384,7 @@
         dropsResponses = dropsResponses || fault.kind == fault_kind::upstream_answers_lost;
         isLeaving = isLeaving || fault.kind == fault_kind::upstream_leaving;
         if (fault.kind == fault_kind::upstream_limited)
-            rateLimit = internal::upstreamRateLimit;
+            rateLimit = m_plan.upstreamRateLimit;
     }
     if (host.links->mode() != links)
         host.links->setMode(links);
--- a/test/platform/soak/upstream_notices.cpp
+++ b/test/platform/soak/upstream_notices.cpp
@@ -8,17 +8,18 @@
 
 constexpr std::uint64_t seed = 1;
 
-[[nodiscard]] soak_report play(std::vector<planned_fault> faults)
+[[nodiscard]] fault_plan makePlan(std::vector<planned_fault> faults)
 {
     fault_plan plan;
     plan.loadDuration = milliseconds { 8000 };
     plan.faults = std::move(faults);
-    soak_run run { seed, std::move(plan) };
-    return run.execute();
+    return plan;
 }
 
-void expectNoViolation(const soak_report& report)
+void expectNoViolation(const fault_plan& plan)
 {
+    soak_run run { seed, plan };
+    const soak_report report = run.execute();
     EXPECT_EQ(report.violations.size(), 0U)
         << report.summary << "\n  " << (report.violations.empty() ? "" : report.violations.front());
 }
@@ -28,14 +29,27 @@
 // Guards against nodes that ignore the limit which an upstream in need names in its answers.
 TEST(UpstreamNotices, KeepTheRateThatAnUpstreamNames)
 {
-    expectNoViolation(play({ { fault_kind::upstream_limited, 0, milliseconds { 500 }, milliseconds { 7000 } },
+    expectNoViolation(makePlan({ { fault_kind::upstream_limited, 0, milliseconds { 500 }, milliseconds { 7000 } },
         { fault_kind::upstream_limited, 1, milliseconds { 500 }, milliseconds { 7000 } } }));
 }
 
+// Guards against a burst at a limited upstream each time the node beside it starts again and does not know the limit.
+TEST(UpstreamNotices, KeepTheRateWhileTheNodeBesideTheUpstreamStartsAgain)
+{
+    std::vector<planned_fault> faults { { fault_kind::upstream_limited, 0, milliseconds { 500 },
+                                            milliseconds { 7000 } },
+        { fault_kind::upstream_slow, 0, milliseconds { 1500 }, milliseconds { 6000 } } };
+    for (const std::int64_t start : { 2000, 3000, 4000, 5000, 6000 })
+        faults.push_back({ fault_kind::node_kill, 0, milliseconds { start }, milliseconds { 100 } });
+    fault_plan plan = makePlan(std::move(faults));
+    plan.upstreamRateLimit = 0.5;
+    expectNoViolation(plan);
+}
+
 // Guards against nodes that wait for an announcement although an upstream says in its answers that it leaves.
 TEST(UpstreamNotices, SendNothingMoreToAnUpstreamThatSaysItLeaves)
 {
-    expectNoViolation(play({ { fault_kind::upstream_leaving, 0, milliseconds { 1000 }, milliseconds { 4000 } },
+    expectNoViolation(makePlan({ { fault_kind::upstream_leaving, 0, milliseconds { 1000 }, milliseconds { 4000 } },
         { fault_kind::upstream_leaving, 3, milliseconds { 2000 }, milliseconds { 4000 } } }));
 }
 
@@ -43,7 +57,7 @@
 // again.
 TEST(UpstreamNotices, OutliveTheNodeBesideAnUpstreamThatSaysItLeaves)
 {
-    expectNoViolation(play({ { fault_kind::upstream_leaving, 0, milliseconds { 1000 }, milliseconds { 6000 } },
+    expectNoViolation(makePlan({ { fault_kind::upstream_leaving, 0, milliseconds { 1000 }, milliseconds { 6000 } },
         { fault_kind::node_kill, 0, milliseconds { 2500 }, milliseconds { 200 } } }));
 }
 
