Log the digest and the upstream of interrupted requests

Attempts with the same content have different ids, so the logs can't distinguish one request that ends the upstreams from an overload after their start.

exchange_failed now carries a digest of caller, host, method, target and body, and the upstream's identifier. No decision uses the digest.

--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -1,5 +1,7 @@
 #include "knapweedcroft/gateway/served_requests.hpp"
 
+#include "knapweedcroft/gateway/request_digest.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -177,6 +179,7 @@
     action.caller = request.message.caller;
     action.requestId = request.message.requestId;
     action.deadline = request.deadline - now;
+    request.digest = digestOf(request.message.caller, request.message.request);
     action.request = std::move(request.message.request);
     actions.emplace_back(std::move(action));
 }
@@ -272,7 +275,9 @@
     const served_request& request, const exchange_failure& failure, gateway_actions& actions)
 {
     log("exchange_failed", request,
-        { { "cause", failure.cause.message }, { "written", failure.wasWritten ? "true" : "false" } }, actions);
+        { { "cause", failure.cause.message }, { "written", failure.wasWritten ? "true" : "false" },
+            { "digest", formatDigest(request.digest) }, { "upstream", request.upstream } },
+        actions);
     if (!failure.wasWritten)
         return forward_refusal { refusal_reason::no_upstream, internal::unavailableRetryAfter, false };
     ++m_counters.failed;
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -152,6 +152,7 @@
         time_point target;
         std::optional<time_point> startedAt;
         std::string upstream; /*!< Identifier of the upstream to which the request was sent. */
+        std::uint64_t digest = 0; /*!< Set when the request is sent to the upstream. */
     };
 
     using request_map = std::unordered_map<std::uint64_t, served_request>;
