Reproduce a request that ends every upstream that runs it

The stand-in of an upstream crashes on one request target and starts again 0.7 s later; poison_ledger checks the platform's rule with a bound of 0.5 s in place of 3 s.

--- a/test/platform/soak/fake_upstream.cpp
+++ b/test/platform/soak/fake_upstream.cpp
@@ -11,6 +11,7 @@
 namespace internal {
 
 static constexpr milliseconds announcementInterval { 500 };
+static constexpr milliseconds restartDelay { 700 }; // From a crash by a request until the next incarnation starts.
 static constexpr std::size_t queueLength = 4;
 static constexpr int okStatus = 200;
 static constexpr int callFailedStatus = 500;
@@ -35,6 +36,7 @@
     , m_calls { loop, exchange_client_settings {} }
     , m_control { loop, http_client_settings {} }
     , m_announcements { loop, [this] { announce(); } }
+    , m_restart { loop, [this] { start(); } }
     , m_onFull { onFull }
 {
 }
@@ -77,6 +79,13 @@
     m_server.reset();
 }
 
+void fake_upstream::crashAndRestart()
+{
+    m_ledger.poison().recordCrash(m_clock.now());
+    crash();
+    m_restart.start(internal::restartDelay);
+}
+
 void fake_upstream::announce()
 {
     m_announcements.start(internal::announcementInterval);
@@ -115,11 +124,15 @@
         return;
     }
     m_ledger.recordExecution(id, m_id);
+    const bool isPoison = message.target == poisonTarget;
+    if (isPoison)
+        m_ledger.poison().recordArrival(m_clock.now());
     const std::uint64_t number = ++m_lastJob;
     job& added = m_jobs[number];
     added.request = request;
     added.id = id;
     added.entry = &*entry;
+    added.isPoison = isPoison;
     const std::string deadline = internal::headerValue(message, "X-Deadline-Ms");
     added.deadline = m_clock.now() + milliseconds { std::stol("0" + deadline) };
     // Posted because execution may destroy the job and its timer, whose callback must not be running then.
@@ -142,6 +155,10 @@
     if (position == m_jobs.end())
         return;
     job& running = position->second;
+    if (running.isPoison) {
+        crashAndRestart();
+        return;
+    }
     if (running.entry->subCallPath.empty()) {
         finish(number, internal::okStatus);
         return;
--- a/test/platform/soak/fake_upstream.hpp
+++ b/test/platform/soak/fake_upstream.hpp
@@ -40,6 +40,7 @@
 class fake_upstream {
 public:
     static constexpr std::size_t slots = 16;
+    static constexpr const char* poisonTarget = "/look/poison"; /*!< Crashes the upstream that runs it. */
 
     /**
      * @brief Constructs a stopped upstream.
@@ -82,6 +83,7 @@
         std::unique_ptr<loop_timer> timer;
         std::uint64_t exchange = 0; // Id of the pending sub-call; 0 if there is none.
         std::string callId;
+        bool isPoison = false;
     };
 
     void announce();
@@ -90,6 +92,7 @@
     void execute(std::uint64_t number);
     void finish(std::uint64_t number, int status);
     void cancelCall(const job& ended);
+    void crashAndRestart();
     void addNotices(opaque_response& response);
 
     event_loop& m_loop;
@@ -103,6 +106,7 @@
     std::unique_ptr<pipelined_server> m_server;
     std::map<std::uint64_t, job> m_jobs;
     loop_timer m_announcements;
+    loop_timer m_restart;
     std::string m_id;
     std::uint64_t m_lastJob = 0;
     std::uint64_t m_incarnations = 0;
--- a/test/platform/soak/request_ledger.cpp
+++ b/test/platform/soak/request_ledger.cpp
@@ -147,6 +147,8 @@
     }
     const std::vector<std::string> ignoredNotices = m_notices.violations();
     found.insert(found.end(), ignoredNotices.begin(), ignoredNotices.end());
+    const std::vector<std::string> poisonRetries = m_poison.violations();
+    found.insert(found.end(), poisonRetries.begin(), poisonRetries.end());
     return found;
 }
 
--- a/test/platform/soak/request_ledger.hpp
+++ b/test/platform/soak/request_ledger.hpp
@@ -2,6 +2,7 @@
 #define KNAPWEEDCROFT_TEST_PLATFORM_SOAK_REQUEST_LEDGER_HPP
 
 #include "soak/notice_ledger.hpp"
+#include "soak/poison_ledger.hpp"
 
 #include "knapweedcroft/core/time.hpp"
 #include "knapweedcroft/http/exchange_client.hpp"
@@ -61,6 +62,9 @@
     /** @brief Returns the response body that an upstream sends for a request. */
     [[nodiscard]] static std::string responseBody(const std::string& id, const std::string& upstream);
 
+    /** @brief Returns the record of the request content that crashes upstreams. */
+    [[nodiscard]] poison_ledger& poison() { return m_poison; }
+
     /** @brief Returns the record of the notices in the answers of upstreams. */
     [[nodiscard]] notice_ledger& notices() { return m_notices; }
 
@@ -100,6 +104,7 @@
     std::map<std::string, request> m_requests;
     std::set<std::string> m_disturbedNodes;
     notice_ledger m_notices;
+    poison_ledger m_poison;
 };
 
 } // namespace knapweedcroft::platform
