--- a/src/knapweedcroft/core/call_result.cpp
+++ b/src/knapweedcroft/core/call_result.cpp
@@ -53,6 +53,8 @@
         return "deadline_unreachable";
     case refusal_reason::rate_limited:
         return "rate_limited";
+    case refusal_reason::quarantined:
+        return "quarantined";
     case refusal_reason::upstream_shed:
         return "upstream_shed";
     case refusal_reason::draining:
--- a/src/knapweedcroft/core/call_result.hpp
+++ b/src/knapweedcroft/core/call_result.hpp
@@ -20,6 +20,7 @@
     overloaded,
     deadline_unreachable,
     rate_limited,
+    quarantined,
     upstream_shed,
     draining,
     no_upstream,
--- a/src/knapweedcroft/gateway/actions.hpp
+++ b/src/knapweedcroft/gateway/actions.hpp
@@ -44,6 +44,11 @@
     std::uint64_t id = 0;
 };
 
+/** @brief Checks whether the upstream of this host accepts connections; `upstream_checked` follows. */
+struct check_upstream {
+    std::string address; /*!< `host:port` of the upstream. */
+};
+
 /** @brief Writes the record of this node to the directory, replacing earlier ones. */
 struct publish_record {
     directory_record record;
@@ -68,8 +73,8 @@
 };
 
 /** @brief Output of a gateway, performed by the runtime. */
-using gateway_action = std::variant<answer_client, start_exchange, cancel_exchange, publish_record, withdraw_record,
-    set_store_read_mode, reread_store, apply_limits, send_to_peer, open_link, close_link, write_log>;
+using gateway_action = std::variant<answer_client, start_exchange, cancel_exchange, check_upstream, publish_record,
+    withdraw_record, set_store_read_mode, reread_store, apply_limits, send_to_peer, open_link, close_link, write_log>;
 
 /** @brief Actions in the order in which they must be performed. */
 using gateway_actions = std::vector<gateway_action>;
--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -60,6 +60,11 @@
     std::variant<upstream_response, exchange_failure> outcome;
 };
 
+/** @brief A check of whether the upstream of this host accepts connections has ended. */
+struct upstream_checked {
+    bool isRefused = false; /*!< No process listens at its address. */
+};
+
 /** @brief The upstream of this host announced its state. */
 struct announcement_received {
     upstream_announcement announcement;
@@ -113,9 +118,10 @@
 };
 
 /** @brief Input of a gateway. */
-using gateway_event = std::variant<client_request, client_disconnected, exchange_ended, announcement_received,
-    leave_received, catalogue_read, directory_read, catalogue_confirmed, store_era_changed, store_availability_changed,
-    retry_settings_changed, stop_requested, link_suspected, link_opened, link_closed, message_received, timer_fired>;
+using gateway_event = std::variant<client_request, client_disconnected, exchange_ended, upstream_checked,
+    announcement_received, leave_received, catalogue_read, directory_read, catalogue_confirmed, store_era_changed,
+    store_availability_changed, retry_settings_changed, stop_requested, link_suspected, link_opened, link_closed,
+    message_received, timer_fired>;
 
 } // namespace knapweedcroft
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -1,5 +1,7 @@
 #include "knapweedcroft/gateway/gateway_core.hpp"
 
+#include "knapweedcroft/gateway/request_digest.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -37,8 +39,8 @@
     , m_incarnation { incarnation }
     , m_registry { upstreamChart, settings.upstreamSilence }
     , m_table { std::make_shared<const entry_table>() }
-    , m_served { settings, m_registry }
-    , m_origin { settings, m_directory, m_served }
+    , m_served { settings, m_registry, m_quarantine }
+    , m_origin { settings, m_directory, m_served, m_quarantine }
     , m_catchUp { settings.seed }
     , m_readElection { settings.node, settings.storeReads }
 {
@@ -121,12 +123,52 @@
 
 // --- upstream of this host
 
+void gateway_core::on(const upstream_checked& event, gateway_actions& actions)
+{
+    const std::optional<upstream_crash> crash = m_served.handleUpstreamCheck(event.isRefused, m_now);
+    // The nodes of the requests learn the crash before its failures, and repeat none of what is held back.
+    if (crash)
+        reportCrash(*crash, actions);
+    m_served.answerInterrupted(m_now, actions);
+    if (crash && m_registry.markUnreachable(crash->upstream))
+        publishUpstreamChange("upstream_unreachable", actions);
+}
+
+void gateway_core::reportCrash(const upstream_crash& crash, gateway_actions& actions)
+{
+    crash_report_message report;
+    report.upstream = crash.upstream;
+    for (const interrupted_content& content : crash.interrupted)
+        report.digests.push_back(content.digest);
+    if (!m_quarantine.recordCrash(report.upstream, report.digests, m_now))
+        return;
+    actions.emplace_back(internal::makeLogLine(log_level::warning, "upstream_crashed",
+        { { "upstream", crash.upstream }, { "interrupted", std::to_string(report.digests.size()) } }));
+    for (const interrupted_content& content : crash.interrupted) {
+        const quarantine_status status = m_quarantine.statusOf(content.digest, m_now);
+        if (status.isHeld())
+            actions.emplace_back(internal::makeLogLine(log_level::warning, "request_quarantined",
+                { { "digest", formatDigest(content.digest) }, { "crashes", std::to_string(status.crashes) },
+                    { "hold_ms", std::to_string(status.holdLeft.whole()) }, { "request", content.requestId },
+                    { "entry", content.entry }, { "target", content.target },
+                    { "remedy", "find out why the upstream crashes on it; an answer ends the hold" } }));
+    }
+    broadcast(report, actions);
+}
+
 void gateway_core::on(const announcement_received& event, gateway_actions& actions)
 {
     const upstream_announcement& announcement = event.announcement;
+    const std::string before = m_registry.current() ? m_registry.current()->incarnation.id : std::string {};
+    const bool hadLeft = m_registry.state() == upstream_chart_state::draining;
     const announcement_result effect = m_registry.announce(announcement, m_now);
     if (effect == announcement_result::changed || (effect == announcement_result::unchanged && !m_isRecordPublished))
         publishUpstreamChange("upstream_changed", actions);
+    const bool isReplaced = effect == announcement_result::changed && before != announcement.incarnation.id;
+    if (isReplaced && !hadLeft) {
+        if (const std::optional<upstream_crash> crash = m_served.handleUpstreamReplaced(before, m_now))
+            reportCrash(*crash, actions);
+    }
     if (effect == announcement_result::stale)
         actions.emplace_back(internal::makeLogLine(log_level::warning, "announcement_ignored",
             { { "upstream", announcement.incarnation.id },
@@ -479,6 +521,8 @@
     m_connectTimes.erase(hello.node);
     m_connectingSince.erase(hello.node);
     actions.emplace_back(send_to_peer { hello.node, makeStatus() });
+    if (!m_quarantine.empty())
+        actions.emplace_back(send_to_peer { hello.node, quarantine_message { m_quarantine.entries(m_now) } });
     if (const std::optional<reported_notices_message> notices = m_directory.noticesFor(hello.node))
         actions.emplace_back(send_to_peer { hello.node, *notices });
     if (isLocalReplica(hello.node)) {
@@ -673,6 +717,32 @@
         publishUpstreamChange("upstream_left", actions);
 }
 
+void gateway_core::receive(const node_name& peer, const crash_report_message& message, gateway_actions& actions)
+{
+    if (m_quarantine.recordCrash(message.upstream, message.digests, m_now))
+        relayToReplicas(peer, message, actions);
+}
+
+void gateway_core::receive(const node_name& peer, const quarantine_message& message, gateway_actions& actions)
+{
+    if (m_quarantine.merge(message.entries, m_now))
+        relayToReplicas(peer, message, actions);
+}
+
+// A node has links to a few nodes of its service in each other data centre, which pass on what concerns the service.
+void gateway_core::relayToReplicas(const node_name& sender, const peer_message& message, gateway_actions& actions) const
+{
+    const known_node* known = m_directory.find(sender);
+    const bool isRemoteReplica = known != nullptr && known->record.data_centre != m_settings.data_centre
+        && known->record.upstream.service == m_settings.service;
+    if (!isRemoteReplica)
+        return;
+    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
+        if (isLocalReplica(item.first))
+            actions.emplace_back(send_to_peer { item.first, message });
+    }
+}
+
 void gateway_core::shareMeasurements(gateway_actions& actions)
 {
     if (m_now - m_measurementsSharedAt < internal::shareInterval)
@@ -680,6 +750,16 @@
     m_measurementsSharedAt = m_now;
     shareCallers(actions);
     shareServiceTimes(actions);
+    shareCleared(actions);
+}
+
+void gateway_core::shareCleared(gateway_actions& actions)
+{
+    quarantine_message cleared;
+    for (const std::uint64_t digest : m_served.takeCleared())
+        cleared.entries.push_back({ digest, 0, {} });
+    if (!cleared.entries.empty())
+        broadcast(cleared, actions);
 }
 
 // In a large fleet a node sends each upstream a request only every few seconds and would notice late that it is slow.
@@ -726,6 +806,7 @@
     m_polledAt = m_now;
     m_origin.poll(m_now, actions);
     m_served.poll(m_now, actions);
+    m_quarantine.poll(m_now);
     if (m_registry.poll(m_now))
         publishUpstreamChange("upstream_silent", actions);
     openDueLinks(actions);
@@ -795,15 +876,17 @@
                 { "slots", load.slots }, { "service_time_ms", load.serviceTime.count() },
                 { "rate_limited", load.rate.has_value() }, { "rate_limit_per_s", load.rate.value_or(0.0) } } },
         { "room", m_served.describeAdmissionRatio(m_now) },
+        { "quarantine", { { "suspected", m_quarantine.size() }, { "held", m_quarantine.heldCount(m_now) } } },
         { "origin_requests",
             { { "received", origin.received }, { "answered", origin.answered }, { "refused", origin.refused },
                 { "failed", origin.failed }, { "timed_out", origin.timedOut }, { "abandoned", origin.abandoned },
-                { "rerouted", origin.rerouted }, { "repeated", origin.retried },
-                { "crossed", origin.crossDataCentre } } },
+                { "rerouted", origin.rerouted }, { "repeated", origin.retried }, { "crossed", origin.crossDataCentre },
+                { "quarantined", origin.quarantined } } },
         { "served_requests",
             { { "received", served.received }, { "started", served.started }, { "answered", served.answered },
                 { "refused", served.refused }, { "shed", served.shed }, { "failed", served.failed },
-                { "cancelled", served.cancelled }, { "rate_limited", served.rateLimited } } } };
+                { "cancelled", served.cancelled }, { "rate_limited", served.rateLimited },
+                { "quarantined", served.quarantined }, { "upstream_crashes", served.crashes } } } };
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -7,6 +7,7 @@
 #include "knapweedcroft/gateway/events.hpp"
 #include "knapweedcroft/gateway/node_directory.hpp"
 #include "knapweedcroft/gateway/origin_requests.hpp"
+#include "knapweedcroft/gateway/request_quarantine.hpp"
 #include "knapweedcroft/gateway/served_requests.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
 #include "knapweedcroft/gateway/store_read_election.hpp"
@@ -62,7 +63,7 @@
     [[nodiscard]] bool isReady() const;
 
     /** @brief Returns true if no request from this host is pending and none is running at its upstream. */
-    [[nodiscard]] bool isIdle() const { return m_origin.pendingCount() == 0 && m_served.load(m_now).running == 0; }
+    [[nodiscard]] bool isIdle() const { return m_origin.pendingCount() == 0 && m_served.isIdle(m_now); }
 
     /** @brief Returns the gateway state as a JSON object, for operators. */
     [[nodiscard]] nlohmann::json describe() const;
@@ -71,6 +72,7 @@
     void on(client_request& event, gateway_actions& actions);
     void on(const client_disconnected& event, gateway_actions& actions);
     void on(exchange_ended& event, gateway_actions& actions);
+    void on(const upstream_checked& event, gateway_actions& actions);
     void on(const announcement_received& event, gateway_actions& actions);
     void on(const leave_received& event, gateway_actions& actions);
     void on(const catalogue_read& event, gateway_actions& actions);
@@ -96,6 +98,8 @@
     void receive(const node_name& peer, const entry_callers_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const service_times_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const reported_notices_message& message, gateway_actions& actions);
+    void receive(const node_name& peer, const crash_report_message& message, gateway_actions& actions);
+    void receive(const node_name& peer, const quarantine_message& message, gateway_actions& actions);
     template <typename Message> void receive(const node_name&, const Message&, gateway_actions&) { }
 
     void applyTable(const std::shared_ptr<const entry_table>& table, std::string_view source, gateway_actions& actions);
@@ -121,6 +125,9 @@
     void shareMeasurements(gateway_actions& actions);
     void shareCallers(gateway_actions& actions);
     void shareServiceTimes(gateway_actions& actions);
+    void shareCleared(gateway_actions& actions);
+    void reportCrash(const upstream_crash& crash, gateway_actions& actions);
+    void relayToReplicas(const node_name& sender, const peer_message& message, gateway_actions& actions) const;
     void logLoad(gateway_actions& actions);
     void requestCatchUp(gateway_actions& actions);
     void broadcast(const peer_message& message, gateway_actions& actions) const;
@@ -136,6 +143,7 @@
     upstream_registry m_registry;
     node_directory m_directory;
     std::shared_ptr<const entry_table> m_table;
+    request_quarantine m_quarantine;
     served_requests m_served;
     origin_requests m_origin;
     std::map<node_name, time_point> m_connectTimes; /*!< When to connect to each unlinked node. */
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -17,6 +17,8 @@
 // Clients stop using a node after two consecutive failed health checks, at one check per second.
 static constexpr milliseconds healthCheckRemovalTime { 2300 };
 static constexpr milliseconds exitMargin { 400 };
+// An upstream on the same host accepts or refuses a connection at once, unless it is stopped or very busy.
+static constexpr milliseconds reachabilityTimeout { 100 };
 static constexpr std::size_t bytesPerMiB = std::size_t { 1024 } * 1024;
 
 [[nodiscard]] static peer_hub_settings makeHubSettings(const gateway_settings& settings)
@@ -97,6 +99,8 @@
                 return internal::makeResponse(fault.status, kind, fault.message, {});
             } } }
     , m_upstream { loop, internal::makeExchangeSettings(settings.memoryMiB) }
+    , m_upstreamCheck { loop, internal::reachabilityTimeout,
+        [this](bool isRefused) { handle(upstream_checked { isRefused }); } }
     , m_hub { loop, settings.gateway.node, charts.peerLink, internal::makeHubSettings(settings.gateway),
         { [this] { return m_core.makeHello(); }, [this](node_event event) { onPeerEvent(std::move(event)); },
             [this](const write_log& line) { m_log.write(line); },
@@ -251,6 +255,8 @@
     m_exchangeIds.erase(position);
 }
 
+void gateway_runtime::perform(check_upstream& action) { m_upstreamCheck.start(action.address); }
+
 void gateway_runtime::perform(publish_record& action) { m_boundary.publish(action.record); }
 
 void gateway_runtime::perform(withdraw_record&) { m_boundary.withdraw(); }
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -5,6 +5,7 @@
 #include "knapweedcroft/gateway/gateway_core.hpp"
 #include "knapweedcroft/http/exchange_client.hpp"
 #include "knapweedcroft/http/pipelined_server.hpp"
+#include "knapweedcroft/http/reachability_check.hpp"
 #include "knapweedcroft/net/event_loop.hpp"
 #include "knapweedcroft/net/http_server.hpp"
 #include "knapweedcroft/net/peer_hub.hpp"
@@ -91,6 +92,7 @@
     void perform(answer_client& action);
     void perform(start_exchange& action);
     void perform(cancel_exchange& action);
+    void perform(check_upstream& action);
     void perform(publish_record& action);
     void perform(withdraw_record& action);
     void perform(set_store_read_mode& action);
@@ -117,6 +119,7 @@
     gateway_core m_core;
     pipelined_server m_server;
     exchange_client m_upstream;
+    reachability_check m_upstreamCheck;
     peer_hub m_hub;
     http_server m_metricsServer;
     loop_timer m_wakeup;
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -1,5 +1,8 @@
 #include "knapweedcroft/gateway/origin_requests.hpp"
 
+#include "knapweedcroft/core/hash.hpp"
+#include "knapweedcroft/gateway/request_digest.hpp"
+
 #include <algorithm>
 
 namespace knapweedcroft {
@@ -30,10 +33,12 @@
 
 } // namespace internal
 
-origin_requests::origin_requests(const gateway_settings& settings, node_directory& directory, served_requests& served)
+origin_requests::origin_requests(const gateway_settings& settings, node_directory& directory, served_requests& served,
+    const request_quarantine& quarantine)
     : m_settings { settings }
     , m_directory { directory }
     , m_served { served }
+    , m_quarantine { quarantine }
     , m_table { std::make_shared<const entry_table>() }
     , m_upstreamSelector { settings.data_centre, settings.seed }
     , m_retryBudget { settings.retries }
@@ -117,10 +122,40 @@
     return candidates;
 }
 
+quarantine_status origin_requests::quarantineStatusOf(const origin_request& request, time_point now) const
+{
+    if (m_quarantine.empty())
+        return {};
+    return m_quarantine.statusOf(digestOf(m_settings.service, request.request), now);
+}
+
+// Nodes that know the same upstreams select the same one for a content, so that it does not end two of them at a time.
+void origin_requests::restrictToOneUpstream(
+    const origin_request& request, std::vector<upstream_candidate>& candidates) const
+{
+    const std::uint64_t digest = digestOf(m_settings.service, request.request);
+    const auto selected = std::max_element(
+        candidates.begin(), candidates.end(), [digest](const upstream_candidate& lhs, const upstream_candidate& rhs) {
+            return hash64(lhs.node, digest) < hash64(rhs.node, digest);
+        });
+    if (selected != candidates.end())
+        candidates = { *selected };
+}
+
 void origin_requests::selectAndSend(std::uint64_t id, time_point now, gateway_actions& actions)
 {
     origin_request& request = m_requests.at(id);
-    const std::vector<upstream_candidate> candidates = candidatesFor(request, now);
+    const quarantine_status status = quarantineStatusOf(request, now);
+    if (status.isHeld()) {
+        ++m_counters.quarantined;
+        request.reason = refusal_reason::quarantined;
+        request.retryAfter = status.holdLeft;
+        refuse(id, now, actions);
+        return;
+    }
+    std::vector<upstream_candidate> candidates = candidatesFor(request, now);
+    if (status.isSuspected())
+        restrictToOneUpstream(request, candidates);
     const milliseconds latencyBudget = std::min(request.entry->targetLatency, request.entry->timeout);
     const selection_request requirements { request.entry->name, latencyBudget - (now - request.arrival) };
     const std::optional<std::size_t> chosen = m_upstreamSelector.choose(candidates, requirements, now);
@@ -228,7 +263,8 @@
     ++request.upstreamAttempts;
     request.mayHaveRun = true;
     m_upstreamSelector.recordFailure(request.node, now);
-    const bool canRetryElsewhere = request.entry->isIdempotent && !candidatesFor(request, now).empty();
+    const bool canRetryElsewhere = request.entry->isIdempotent && !quarantineStatusOf(request, now).isHeld()
+        && !candidatesFor(request, now).empty();
     if (canRetryElsewhere && spendRetry(request, now)) {
         ++m_counters.retried;
         log(log_level::info, "request_repeated", request, { { "cause", cause }, { "node", request.node } }, now,
@@ -255,7 +291,10 @@
     const milliseconds delay
         = m_jitter.spread(milliseconds {} < request.retryAfter ? request.retryAfter : internal::defaultRetryAfter);
     const milliseconds maxDelay = (request.clientDeadline - now) / internal::retryAfterDivisor;
-    const milliseconds retryAfter = std::max(internal::minRetryAfter, std::min(delay, maxDelay));
+    // A request that is held back cannot succeed earlier, so its client is told the whole time.
+    const milliseconds retryAfter = request.reason == refusal_reason::quarantined
+        ? request.retryAfter
+        : std::max(internal::minRetryAfter, std::min(delay, maxDelay));
     ++m_counters.refused;
     log(log_level::info, "request_refused", request,
         { { "reason", std::string { toString(request.reason) } },
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -33,6 +33,7 @@
     std::uint64_t abandoned = 0; /*!< Client disconnected before the answer. */
     std::uint64_t rerouted = 0; /*!< Sent to another upstream after one that did not run the request. */
     std::uint64_t retried = 0; /*!< Retries charged to the retry budget. */
+    std::uint64_t quarantined = 0; /*!< Not sent, because the content was running when upstreams crashed. */
     std::uint64_t crossDataCentre = 0; /*!< Sent to another data centre. */
 };
 
@@ -48,8 +49,10 @@
      * @brief Constructs an object without a catalogue; all requests are refused until `setEntryTable` is called.
      * @param directory Known nodes; must outlive the object.
      * @param served Is told which requests are calls of the upstream of this host; must outlive the object.
+     * @param quarantine Suspected request contents; must outlive the object.
      */
-    origin_requests(const gateway_settings& settings, node_directory& directory, served_requests& served);
+    origin_requests(const gateway_settings& settings, node_directory& directory, served_requests& served,
+        const request_quarantine& quarantine);
 
     /** @brief Sets the catalogue for subsequent requests; requests in progress keep the previous one. */
     void setEntryTable(std::shared_ptr<const entry_table> table);
@@ -128,6 +131,8 @@
     void send(std::uint64_t id, const upstream_candidate& target, bool hasAlternative, time_point now,
         gateway_actions& actions);
     [[nodiscard]] std::vector<upstream_candidate> candidatesFor(const origin_request& request, time_point now) const;
+    [[nodiscard]] quarantine_status quarantineStatusOf(const origin_request& request, time_point now) const;
+    void restrictToOneUpstream(const origin_request& request, std::vector<upstream_candidate>& candidates) const;
     [[nodiscard]] bool isPastProcessEnd(const origin_request& request, time_point now) const;
     [[nodiscard]] bool spendRetry(const origin_request& request, time_point now);
     void handleRefusal(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
@@ -141,6 +146,7 @@
     gateway_settings m_settings;
     node_directory& m_directory;
     served_requests& m_served;
+    const request_quarantine& m_quarantine;
     std::shared_ptr<const entry_table> m_table;
     weighted_service_selector m_serviceSelector;
     upstream_selector m_upstreamSelector;
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -13,6 +13,15 @@
 static constexpr milliseconds overloadRetryAfter { 1000 };
 static constexpr milliseconds unavailableRetryAfter { 300 }; // A restarted upstream announces itself within this time.
 
+// About the time in which the suspected content that is running ends.
+static constexpr milliseconds suspectRetryAfter { 300 };
+// Exchanges of an upstream that has ended break off within milliseconds, so one that still runs speaks against a crash.
+static constexpr milliseconds recheckInterval { 20 };
+static constexpr int maxChecks = 5;
+static constexpr milliseconds restartTime {
+    5000
+}; // Longest time from an interruption to the start of the next process.
+static constexpr std::size_t maxUnexplained = 256;
 static constexpr double loggedRateChange = 0.25; // Share by which a rate changes before it is logged again.
 
 [[nodiscard]] static bool isSuccess(int status)
@@ -23,9 +32,11 @@
 
 } // namespace internal
 
-served_requests::served_requests(const gateway_settings& settings, upstream_registry& registry)
+served_requests::served_requests(
+    const gateway_settings& settings, upstream_registry& registry, request_quarantine& quarantine)
     : m_settings { settings }
     , m_registry { registry }
+    , m_quarantine { quarantine }
     , m_queue { settings.seed }
 {
 }
@@ -49,6 +60,7 @@
     const std::uint64_t id = ++m_lastId;
     served_request& request = m_requests[id];
     request.peer = peer;
+    request.slot = id;
     request.message = std::move(received);
     const forward_request& message = request.message;
     request.deadline = now + message.deadline;
@@ -58,6 +70,11 @@
         refuse(id, forward_refusal { *reason, internal::unavailableRetryAfter, false }, now, actions);
         return;
     }
+    request.digest = digestOf(message.caller, message.request);
+    if (const std::optional<forward_refusal> refusal = quarantineRefusal(id, now)) {
+        refuse(id, *refusal, now, actions);
+        return;
+    }
     m_originClassifier.recordRequest(message.entry, message.caller);
     const slot_request slot = makeSlotRequest(id);
     // Does not count as offered work, since another upstream may take it.
@@ -154,7 +171,13 @@
 {
     for (const slot_decision& decision : decisions) {
         if (const start_request* started = std::get_if<start_request>(&decision)) {
-            start(started->id, now, actions);
+            const std::optional<forward_refusal> refusal = quarantineRefusal(started->id, now);
+            if (!refusal) {
+                start(started->id, now, actions);
+                continue;
+            }
+            refuse(started->id, *refusal, now, actions);
+            apply(m_queue.release(started->id, false, now), now, actions);
             continue;
         }
         const refuse_request& refused = std::get<refuse_request>(decision);
@@ -179,8 +202,8 @@
     action.caller = request.message.caller;
     action.requestId = request.message.requestId;
     action.deadline = request.deadline - now;
-    request.digest = digestOf(request.message.caller, request.message.request);
     action.request = std::move(request.message.request);
+    request.message.request.target = action.request.target; // For the log.
     actions.emplace_back(std::move(action));
 }
 
@@ -199,6 +222,7 @@
         return;
     const served_request request = extract(position);
     ++m_counters.refused;
+    m_counters.quarantined += refusal.reason == refusal_reason::quarantined ? 1U : 0U;
     m_counters.rateLimited += refusal.reason == refusal_reason::rate_limited ? 1U : 0U;
     const upstream_load load = m_queue.load(now);
     log("request_turned_away", request,
@@ -289,9 +313,14 @@
     const auto position = m_requests.find(event.id);
     if (position == m_requests.end())
         return upstream_finding::none;
-    const served_request request = extract(position);
+    served_request request = extract(position);
     upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
+    if (failure != nullptr && isInterruption(request, *failure)) {
+        recordOutcome(request, event, now);
+        suspend(std::move(request), *failure, now, actions);
+        return upstream_finding::none;
+    }
     const upstream_notices notices
         = response != nullptr && !response->isMisdirected ? response->notices : upstream_notices {};
     const bool isLeaving = notices.isLeaving && m_registry.leave(request.upstream, now);
@@ -301,6 +330,8 @@
     forward_outcome outcome
         = response != nullptr ? outcomeOf(request, *response, now, actions) : outcomeOf(request, *failure, actions);
     const bool isMeasured = response != nullptr && !response->isNotRun;
+    if (isMeasured)
+        recordCompleteAnswer(request);
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
     forward_answer answer = makeAnswer(request, std::move(outcome), now);
     if (notices.isLeaving)
@@ -316,6 +347,115 @@
         : upstream_finding::none;
 }
 
+bool served_requests::isInterruption(const served_request& request, const exchange_failure& failure) const
+{
+    const bool isCurrent = m_registry.current() && m_registry.current()->incarnation.id == request.upstream;
+    // What a leaving upstream breaks off at its end is no sign of a crash.
+    return isCurrent && m_registry.state() != upstream_chart_state::draining && failure.wasWritten
+        && failure.cause.kind == error_kind::connection_failed;
+}
+
+void served_requests::suspend(
+    served_request request, const exchange_failure& failure, time_point now, gateway_actions& actions)
+{
+    log("exchange_failed", request,
+        { { "cause", failure.cause.message }, { "written", "true" }, { "digest", formatDigest(request.digest) },
+            { "upstream", request.upstream } },
+        actions);
+    ++m_counters.failed;
+    const std::uint64_t id = request.slot;
+    if (m_interrupted.empty()) {
+        m_checkCount = 1;
+        actions.emplace_back(check_upstream { m_settings.upstreamAddress });
+    }
+    m_interrupted.push_back({ std::move(request), failure.cause.message, now });
+    apply(m_queue.release(id, false, now), now, actions);
+}
+
+bool served_requests::hasExchangesSince(time_point time) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(),
+        [time](const request_map::value_type& item) { return item.second.startedAt && *item.second.startedAt < time; });
+}
+
+std::optional<upstream_crash> served_requests::handleUpstreamCheck(bool isRefused, time_point now)
+{
+    if (m_interrupted.empty())
+        return std::nullopt;
+    const bool isRunning = hasExchangesSince(m_interrupted.front().at);
+    if (isRefused && isRunning && m_checkCount < internal::maxChecks) {
+        m_recheckAt = now + internal::recheckInterval;
+        return std::nullopt;
+    }
+    upstream_crash crash;
+    crash.upstream = m_interrupted.front().request.upstream;
+    for (const interrupted_request& item : m_interrupted) {
+        const served_request& request = item.request;
+        const interrupted_content content { request.digest, request.message.requestId, request.message.entry,
+            request.message.request.target };
+        if (request.upstream == crash.upstream)
+            crash.interrupted.push_back(content);
+        if (m_unexplained.size() < internal::maxUnexplained)
+            m_unexplained.push_back({ request.upstream, content, now });
+    }
+    if (!isRefused || isRunning)
+        return std::nullopt;
+    m_unexplained.clear();
+    ++m_counters.crashes;
+    return crash;
+}
+
+void served_requests::answerInterrupted(time_point now, gateway_actions& actions)
+{
+    if (m_recheckAt)
+        return;
+    for (const interrupted_request& item : std::exchange(m_interrupted, {}))
+        actions.emplace_back(
+            send_to_peer { item.request.peer, makeAnswer(item.request, forward_failure { item.cause }, now) });
+}
+
+std::optional<upstream_crash> served_requests::handleUpstreamReplaced(const std::string& upstream, time_point now)
+{
+    upstream_crash crash { upstream, {} };
+    for (const unexplained_interruption& item : std::exchange(m_unexplained, {})) {
+        if (item.upstream == upstream && now - item.at <= internal::restartTime)
+            crash.interrupted.push_back(item.content);
+    }
+    if (crash.interrupted.empty())
+        return std::nullopt;
+    ++m_counters.crashes;
+    return crash;
+}
+
+// An upstream that answers a request which started after an interruption did not end with that interruption.
+void served_requests::recordCompleteAnswer(const served_request& request)
+{
+    m_unexplained.erase(std::remove_if(m_unexplained.begin(), m_unexplained.end(),
+                            [&request](const unexplained_interruption& item) {
+                                return item.upstream == request.upstream && item.at < *request.startedAt;
+                            }),
+        m_unexplained.end());
+    if (m_quarantine.clear(request.digest))
+        m_cleared.push_back(request.digest);
+}
+
+std::optional<forward_refusal> served_requests::quarantineRefusal(std::uint64_t id, time_point now) const
+{
+    const std::uint64_t digest = m_requests.at(id).digest;
+    const quarantine_status status = m_quarantine.statusOf(digest, now);
+    if (status.isHeld())
+        return forward_refusal { refusal_reason::quarantined, status.holdLeft, false, true };
+    if (!status.isSuspected())
+        return std::nullopt;
+    const bool isRunning
+        = std::any_of(m_requests.begin(), m_requests.end(), [id, digest](const request_map::value_type& item) {
+              return item.first != id && item.second.digest == digest && item.second.startedAt;
+          });
+    if (!isRunning)
+        return std::nullopt;
+    return forward_refusal { refusal_reason::quarantined, internal::suspectRetryAfter, false, true };
+}
+
 // The answer to a request that was sent to an earlier upstream says nothing about the current one.
 void served_requests::applyNotices(
     const served_request& request, const upstream_notices& notices, time_point now, gateway_actions& actions)
@@ -374,8 +514,21 @@
     apply(m_queue.refuseAll(isDraining ? refusal_reason::draining : refusal_reason::no_upstream, now), now, actions);
 }
 
+std::optional<time_point> served_requests::nextWakeup() const
+{
+    const std::optional<time_point> queue = m_queue.nextWakeup();
+    if (queue && m_recheckAt)
+        return std::min(*queue, *m_recheckAt);
+    return m_recheckAt ? m_recheckAt : queue;
+}
+
 void served_requests::poll(time_point now, gateway_actions& actions)
 {
+    if (m_recheckAt && *m_recheckAt <= now) {
+        m_recheckAt.reset();
+        ++m_checkCount;
+        actions.emplace_back(check_upstream { m_settings.upstreamAddress });
+    }
     updateAdmissionRatio(now);
     apply(m_queue.poll(now), now, actions);
 }
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -7,6 +7,7 @@
 #include "knapweedcroft/gateway/downstream_admission_ratio.hpp"
 #include "knapweedcroft/gateway/entry_origin_classifier.hpp"
 #include "knapweedcroft/gateway/events.hpp"
+#include "knapweedcroft/gateway/request_quarantine.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
 #include "knapweedcroft/gateway/upstream_queue.hpp"
 #include "knapweedcroft/gateway/upstream_registry.hpp"
@@ -34,6 +35,8 @@
     std::uint64_t failed = 0; /*!< No complete response; may have run. */
     std::uint64_t cancelled = 0;
     std::uint64_t rateLimited = 0; /*!< Refused because of the rate that the upstream names. */
+    std::uint64_t quarantined = 0; /*!< Refused because the content was running when upstreams crashed. */
+    std::uint64_t crashes = 0; /*!< Crashes of the upstream. */
 };
 
 /** @brief What the end of an exchange shows about the upstream of this host. */
@@ -43,6 +46,20 @@
     leaving /*!< It has said that it leaves. */
 };
 
+/** @brief Request that was running when an upstream crashed. */
+struct interrupted_content {
+    std::uint64_t digest = 0;
+    std::string requestId; /*!< Identifier of the attempt. */
+    std::string entry; /*!< Name of its catalogue entry. */
+    std::string target; /*!< Its path and query. */
+};
+
+/** @brief Crash of the upstream of this host. */
+struct upstream_crash {
+    std::string upstream; /*!< Identifier of the upstream. */
+    std::vector<interrupted_content> interrupted;
+};
+
 /**
  * @brief Requests for the upstream of this host, received from all nodes.
  *
@@ -54,8 +71,9 @@
     /**
      * @brief Constructs an object without requests.
      * @param registry State of the upstream of this host; must outlive the object.
+     * @param quarantine Suspected request contents; must outlive the object.
      */
-    served_requests(const gateway_settings& settings, upstream_registry& registry);
+    served_requests(const gateway_settings& settings, upstream_registry& registry, request_quarantine& quarantine);
 
     /**
      * @brief Queues, starts or refuses a forwarded request.
@@ -80,6 +98,32 @@
      */
     [[nodiscard]] upstream_finding handleExchangeEnd(exchange_ended event, time_point now, gateway_actions& actions);
 
+    /**
+     * @brief Uses the result of a check of the upstream to find out why exchanges broke off.
+     *
+     * If no process listens any more and all exchanges have broken off, the upstream crashed, unless it was leaving.
+     * @return The crash, if there was one; its requests are answered by `answerInterrupted`.
+     */
+    [[nodiscard]] std::optional<upstream_crash> handleUpstreamCheck(bool isRefused, time_point now);
+
+    /** @brief Answers the requests whose exchanges broke off as failed, unless another check of the upstream is due. */
+    void answerInterrupted(time_point now, gateway_actions& actions);
+
+    /**
+     * @brief Handles the replacement of an upstream that did not leave.
+     *
+     * It may have restarted so fast that the check reached the next process.
+     * @param upstream Identifier of the replaced upstream.
+     * @return Its crash, if exchanges with it had broken off unexplained shortly before.
+     */
+    [[nodiscard]] std::optional<upstream_crash> handleUpstreamReplaced(const std::string& upstream, time_point now);
+
+    /** @brief Returns the suspected contents that the upstream has answered since the last call; mostly empty. */
+    [[nodiscard]] std::vector<std::uint64_t> takeCleared() { return std::exchange(m_cleared, {}); }
+
+    /** @brief Returns true if the upstream runs nothing and all its requests have been answered. */
+    [[nodiscard]] bool isIdle(time_point now) const { return load(now).running == 0 && m_interrupted.empty(); }
+
     /**
      * @brief Applies the slot count of a serving upstream, or refuses all queued requests if the upstream is not
      * serving.
@@ -126,8 +170,8 @@
     /** @brief Updates the admission ratio and refuses queued requests that have waited too long. */
     void poll(time_point now, gateway_actions& actions);
 
-    /** @brief Returns the time at which `poll` is due, or nothing if the queue is empty. */
-    [[nodiscard]] std::optional<time_point> nextWakeup() const { return m_queue.nextWakeup(); }
+    /** @brief Returns the time at which `poll` is due, or nothing if there is nothing to wait for. */
+    [[nodiscard]] std::optional<time_point> nextWakeup() const;
 
     /** @brief Returns the current load of the upstream. */
     [[nodiscard]] upstream_load load(time_point now) const { return m_queue.load(now); }
@@ -152,7 +196,22 @@
         time_point target;
         std::optional<time_point> startedAt;
         std::string upstream; /*!< Identifier of the upstream to which the request was sent. */
-        std::uint64_t digest = 0; /*!< Set when the request is sent to the upstream. */
+        std::uint64_t digest = 0;
+        std::uint64_t slot = 0; /*!< Identifier in the queue. */
+    };
+
+    /** @brief Request whose exchange broke off; it is answered once it is known whether the upstream crashed. */
+    struct interrupted_request {
+        served_request request;
+        std::string cause;
+        time_point at;
+    };
+
+    /** @brief Content whose exchange broke off although a process listened afterwards. */
+    struct unexplained_interruption {
+        std::string upstream;
+        interrupted_content content;
+        time_point at;
     };
 
     using request_map = std::unordered_map<std::uint64_t, served_request>;
@@ -173,6 +232,11 @@
     [[nodiscard]] slot_request makeSlotRequest(std::uint64_t id) const;
     void applyNotices(
         const served_request& request, const upstream_notices& notices, time_point now, gateway_actions& actions);
+    [[nodiscard]] std::optional<forward_refusal> quarantineRefusal(std::uint64_t id, time_point now) const;
+    [[nodiscard]] bool isInterruption(const served_request& request, const exchange_failure& failure) const;
+    void suspend(served_request request, const exchange_failure& failure, time_point now, gateway_actions& actions);
+    [[nodiscard]] bool hasExchangesSince(time_point time) const;
+    void recordCompleteAnswer(const served_request& request);
     void setRate(std::optional<double> rate, time_point now, gateway_actions& actions);
     void resetRate(time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
@@ -184,6 +248,7 @@
 
     gateway_settings m_settings;
     upstream_registry& m_registry;
+    request_quarantine& m_quarantine;
     upstream_queue m_queue;
     entry_origin_classifier m_originClassifier;
     call_dependency_estimator m_callDependence;
@@ -193,6 +258,11 @@
     std::unordered_map<std::string, double> m_admissionCredits; /*!< Per entry; one per admitted request. */
     request_map m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_idsByPeer;
+    std::vector<interrupted_request> m_interrupted;
+    std::vector<unexplained_interruption> m_unexplained;
+    std::vector<std::uint64_t> m_cleared;
+    std::optional<time_point> m_recheckAt; /*!< When to check the upstream again. */
+    int m_checkCount = 0; /*!< Checks since exchanges broke off. */
     std::string m_rateUpstream; /*!< Identifier of the upstream that named the rate in force. */
     reported_notices_message m_reported; /*!< Latest report of a peer; without an identifier if there is none. */
     double m_loggedRate = 0.0; /*!< Rate of the latest log line, in requests per second. */
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -102,6 +102,8 @@
     std::string_view operator()(const entry_callers_message&) const { return "entry_callers"; }
     std::string_view operator()(const service_times_message&) const { return "service_times"; }
     std::string_view operator()(const reported_notices_message&) const { return "reported_notices"; }
+    std::string_view operator()(const crash_report_message&) const { return "crash_report"; }
+    std::string_view operator()(const quarantine_message&) const { return "quarantine"; }
 };
 
 struct header_writer {
@@ -196,6 +198,20 @@
         return header.take();
     }
 
+    wire_json operator()(const crash_report_message& value) const
+    {
+        return { { "k", kind_namer {}(value) }, { "upstream", value.upstream }, { "digests", value.digests } };
+    }
+
+    wire_json operator()(const quarantine_message& value) const
+    {
+        wire_json entries = wire_json::array();
+        for (const quarantine_entry& item : value.entries)
+            entries.push_back(
+                { { "d", item.digest }, { "n", item.crashes }, { "hold_us", item.holdLeft.microseconds() } });
+        return { { "k", kind_namer {}(value) }, { "entries", std::move(entries) } };
+    }
+
     wire_json operator()(const entry_callers_message& value) const
     {
         wire_json counts = wire_json::array();
@@ -637,6 +653,34 @@
     return message;
 }
 
+[[nodiscard]] static peer_message readCrashReport(field_reader& reader, std::string&&)
+{
+    crash_report_message message;
+    message.upstream = reader.text("upstream", maxTextBytes);
+    for (const wire_json& item : reader.list("digests", maxNames)) {
+        if (!item.is_number_unsigned()) {
+            reader.fail("digests", "a list of numbers");
+            return message;
+        }
+        message.digests.push_back(item.get<std::uint64_t>());
+    }
+    return message;
+}
+
+[[nodiscard]] static quarantine_entry readQuarantineEntry(field_reader& reader)
+{
+    quarantine_entry entry;
+    entry.digest = reader.unsignedInteger("d");
+    entry.crashes = readCount(reader, "n");
+    entry.holdLeft = readDuration(reader, "hold_us");
+    return entry;
+}
+
+[[nodiscard]] static peer_message readQuarantine(field_reader& reader, std::string&&)
+{
+    return quarantine_message { readItems(reader, "entries", maxNames, &readQuarantineEntry) };
+}
+
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
 {
     return cancel_message { call_id { reader.unsignedInteger("id") } };
@@ -750,7 +794,8 @@
     { "store_progress", &readStoreProgress, false }, { "fwd", &readForward, true },
     { "fwd_ans", &readForwardAnswer, true }, { "upstream", &readUpstreamStatus, false },
     { "entry_callers", &readEntryCallers, false }, { "service_times", &readServiceTimes, false },
-    { "reported_notices", &readReportedNotices, false } };
+    { "reported_notices", &readReportedNotices, false }, { "crash_report", &readCrashReport, false },
+    { "quarantine", &readQuarantine, false } };
 
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -275,11 +275,34 @@
     bool isLeaving = false;
 };
 
+/** @brief Reports that the sender's upstream crashed. */
+struct crash_report_message {
+    std::string upstream; /*!< Identifier of the upstream. */
+    std::vector<std::uint64_t> digests; /*!< Contents of the requests that it was running. */
+};
+
+/** @brief Request content that was running when upstreams crashed. */
+struct quarantine_entry {
+    std::uint64_t digest = 0;
+    std::uint32_t crashes = 0; /*!< Number of crashes; zero if the content was cleared by a complete answer. */
+    milliseconds holdLeft; /*!< Time for which it must not run. */
+
+    friend bool operator==(const quarantine_entry& lhs, const quarantine_entry& rhs)
+    {
+        return lhs.digest == rhs.digest && lhs.crashes == rhs.crashes && lhs.holdLeft == rhs.holdLeft;
+    }
+};
+
+/** @brief Suspected request contents; sent on a new link, and when a content is cleared. */
+struct quarantine_message {
+    std::vector<quarantine_entry> entries;
+};
+
 /** @brief Message between two nodes. */
 using peer_message = std::variant<hello_message, call_request, call_answer, cancel_message, ping_message, pong_message,
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
     catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message,
-    entry_callers_message, service_times_message, reported_notices_message>;
+    entry_callers_message, service_times_message, reported_notices_message, crash_report_message, quarantine_message>;
 
 /**
  * @brief Returns the call that a message requests the receiver to run.
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -474,6 +474,237 @@
     EXPECT_EQ(m_group.exchanges("a").size(), before);
 }
 
+// --- requests that crash upstreams
+
+class crash_test : public gateway_core_test {
+protected:
+    // Sends a request with a given target, and so a given content, from node c.
+    void request(const std::string& target)
+    {
+        client_request event;
+        event.handle = ++m_lastHandle;
+        event.host = "h";
+        event.requestId = "r" + std::to_string(event.handle);
+        event.deadline = milliseconds { 1000 };
+        event.request = { "GET", target, {}, "" };
+        m_group.handle("c", event);
+        m_group.run(milliseconds { 1 });
+    }
+
+    // Node at whose upstream a content runs; empty if it runs nowhere.
+    [[nodiscard]] std::string runningAt(const std::string& target)
+    {
+        for (const char* node : { "a", "b" }) {
+            for (const start_exchange& started : m_group.exchanges(node)) {
+                if (started.request.target == target && m_ended.count({ node, started.id }) == 0)
+                    return node;
+            }
+        }
+        return {};
+    }
+
+    // Ends all exchanges of a node's upstream without an answer.
+    void breakOff(const std::string& node)
+    {
+        for (const start_exchange& started : std::vector<start_exchange> { m_group.exchanges(node) }) {
+            if (m_ended.insert({ node, started.id }).second)
+                m_group.handle(node,
+                    exchange_ended {
+                        started.id, exchange_failure { true, error { error_kind::connection_failed, "closed" } } });
+        }
+        m_group.run(milliseconds { 5 });
+    }
+
+    void crash(const std::string& node)
+    {
+        m_group.setRefusing(node, true);
+        breakOff(node);
+    }
+
+    void restart(const std::string& node)
+    {
+        m_group.setRefusing(node, false);
+        upstream_announcement next;
+        next.incarnation
+            = { "restarted " + std::to_string(++m_lastHandle), 1 + static_cast<std::int64_t>(m_lastHandle) };
+        next.service = "visits";
+        next.address = "127.0.0.1:1";
+        next.slots = 4;
+        m_group.handle(node, announcement_received { next });
+        m_group.run(milliseconds { 5 });
+    }
+
+    // Answers the requests that run at a node.
+    void answer(const std::string& node)
+    {
+        for (const start_exchange& started : std::vector<start_exchange> { m_group.exchanges(node) }) {
+            if (m_ended.insert({ node, started.id }).second)
+                m_group.handle(node, exchange_ended { started.id, upstream_response {} });
+        }
+        m_group.run(milliseconds { 150 });
+    }
+
+    [[nodiscard]] int count(const std::string& node, const char* name)
+    {
+        return m_group.core(node).describe()["quarantine"][name].get<int>();
+    }
+
+    [[nodiscard]] int lastStatus() { return statusOf(m_group.answers("c").back()); }
+
+    request_handle m_lastHandle = 5000; // Above those that the group assigns.
+    std::set<std::pair<std::string, std::uint64_t>> m_ended;
+};
+
+// Guards against one request that ends all upstreams of a service, as it is sent to the next one after each crash.
+TEST_F(crash_test, HoldsAContentBackThatWasRunningAtTwoCrashes)
+{
+    request("/read/poison");
+    const std::string first = runningAt("/read/poison");
+    crash(first);
+    const std::string second = runningAt("/read/poison");
+    ASSERT_EQ(second, other(first)) << "it is repeated once, since it may be innocent";
+    crash(second);
+    EXPECT_EQ(lastStatus(), 502) << "it has run";
+    for (const char* node : { "a", "b", "c" })
+        EXPECT_EQ(count(node, "held"), 1) << node;
+    restart(first);
+    restart(second);
+    request("/read/poison");
+    EXPECT_EQ(runningAt("/read/poison"), "");
+    const local_answer& refusal = std::get<local_answer>(m_group.answers("c").back().answer);
+    EXPECT_EQ(refusal.status, 503);
+    EXPECT_EQ(refusal.kind, "quarantined");
+    EXPECT_GT(refusal.retryAfter, milliseconds { 4000 });
+    request("/read/other");
+    EXPECT_NE(runningAt("/read/other"), "");
+}
+
+TEST_F(crash_test, RunsAHeldContentAgainOnceItsTimeIsOver)
+{
+    request("/read/poison");
+    crash(runningAt("/read/poison"));
+    const std::string second = runningAt("/read/poison");
+    crash(second);
+    restart(second);
+    m_group.run(milliseconds { 5000 });
+    request("/read/poison");
+    ASSERT_EQ(runningAt("/read/poison"), second);
+    answer(second);
+    EXPECT_EQ(lastStatus(), 200);
+    for (const char* node : { "a", "b", "c" })
+        EXPECT_EQ(count(node, "suspected"), 0) << node;
+}
+
+// Guards against several upstreams that end at the same time because of attempts with the same content.
+TEST_F(crash_test, RunsASuspectedContentOnceAtATime)
+{
+    request("/read/poison");
+    crash(runningAt("/read/poison"));
+    const std::string second = runningAt("/read/poison");
+    const std::size_t before = m_group.exchanges(second).size();
+    request("/read/poison");
+    EXPECT_EQ(m_group.exchanges(second).size(), before);
+    EXPECT_EQ(lastStatus(), 503);
+    answer(second);
+    request("/read/poison");
+    EXPECT_EQ(m_group.exchanges(second).size(), before + 1) << "cleared by the answer";
+}
+
+// Guards against suspicion after an answer that was lost.
+TEST_F(crash_test, TakesABrokenConnectionToALivingUpstreamForNoCrash)
+{
+    request("/book/lost");
+    breakOff(runningAt("/book/lost"));
+    EXPECT_EQ(lastStatus(), 502);
+    EXPECT_EQ(count("c", "suspected"), 0);
+}
+
+// Guards against suspicion of what a leaving upstream breaks off at its end.
+TEST_F(crash_test, TakesTheEndOfALeavingUpstreamForNoCrash)
+{
+    request("/book/left");
+    const std::string leaving = runningAt("/book/left");
+    m_group.handle(leaving, leave_received { "upstream of " + leaving });
+    crash(leaving);
+    EXPECT_EQ(lastStatus(), 502);
+    EXPECT_EQ(count("c", "suspected"), 0);
+}
+
+// Guards against suspicion of requests to an upstream that refuses connections because it has too many.
+TEST_F(crash_test, TakesAnUpstreamThatGoesOnWithItsRequestsForAlive)
+{
+    request("/book/first");
+    const std::string busy = runningAt("/book/first");
+    m_group.handle("c", link_suspected { other(busy), true });
+    request("/book/second");
+    ASSERT_EQ(runningAt("/book/second"), busy);
+    m_group.setRefusing(busy, true);
+    const std::uint64_t id = m_group.exchanges(busy).back().id;
+    m_group.handle(
+        busy, exchange_ended { id, exchange_failure { true, error { error_kind::connection_failed, "closed" } } });
+    m_group.run(milliseconds { 200 });
+    EXPECT_EQ(count("c", "suspected"), 0);
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(lastStatus(), 502);
+}
+
+// Guards against a crash that goes unnoticed because the next process listens before the check.
+TEST_F(crash_test, NoticesACrashByTheNextProcess)
+{
+    request("/read/poison");
+    const std::string first = runningAt("/read/poison");
+    breakOff(first);
+    EXPECT_EQ(count("c", "suspected"), 0);
+    restart(first);
+    EXPECT_EQ(count("c", "suspected"), 1);
+}
+
+TEST_F(crash_test, TakesAnUpstreamThatAnswersAgainAsAlive)
+{
+    request("/read/lost");
+    const std::string first = runningAt("/read/lost");
+    breakOff(first);
+    exchangeAt(first, upstream_response {});
+    restart(first);
+    EXPECT_EQ(count("c", "suspected"), 0);
+}
+
+TEST_F(crash_test, TellsANodeThatStarts)
+{
+    request("/read/poison");
+    crash(runningAt("/read/poison"));
+    const gateway_actions actions
+        = m_group.core("c").handle(link_opened { m_group.core("a").makeHello() }, m_group.now(), m_group.now());
+    EXPECT_EQ(std::count_if(actions.begin(), actions.end(),
+                  [](const gateway_action& action) {
+                      const send_to_peer* sent = std::get_if<send_to_peer>(&action);
+                      return sent != nullptr && std::holds_alternative<quarantine_message>(sent->message);
+                  }),
+        1);
+}
+
+// Guards against nodes of a large fleet that are linked to no node of the data centre of the crash.
+TEST(GatewayCrashReports, AreRelayedToTheReplicasOfTheDataCentre)
+{
+    gateway_group group { makeReadAndBookTable() };
+    for (const char* node : { "near-1", "near-2", "far-1", "far-2" })
+        group.add(node, "visits", std::string { node }.substr(0, std::string { node }.find('-')), 4);
+    group.add("near-3", "planning", "near", 4);
+    group.start();
+    const auto relayedBy = [&group](const std::string& node, const std::string& sender, const std::string& upstream) {
+        const gateway_actions actions = group.core(node).handle(
+            message_received { sender, crash_report_message { upstream, { 7 } } }, group.now(), group.now());
+        return std::count_if(actions.begin(), actions.end(), [](const gateway_action& action) {
+            const send_to_peer* sent = std::get_if<send_to_peer>(&action);
+            return sent != nullptr && sent->peer == "near-2";
+        });
+    };
+    EXPECT_EQ(relayedBy("near-1", "far-1", "u1"), 1);
+    EXPECT_EQ(relayedBy("near-1", "far-2", "u1"), 0) << "the same crash again";
+    EXPECT_EQ(relayedBy("near-1", "near-2", "u2"), 0) << "from the own data centre";
+    EXPECT_EQ(relayedBy("near-3", "far-1", "u3"), 0) << "of another service";
+}
+
 // --- load patterns
 
 namespace {
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -198,6 +198,8 @@
             ++m_executions[started->requestId];
             if (answersAutomatically)
                 runExchange(name, *started);
+        } else if (std::holds_alternative<check_upstream>(action)) {
+            at(m_now, [this, name] { handle(name, upstream_checked { m_nodes.at(name)->isRefusing }); });
         } else if (const cancel_exchange* cancelled = std::get_if<cancel_exchange>(&action)) {
             self.running.erase(cancelled->id);
         }
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -55,6 +55,9 @@
     /** @brief Multiplies the service times of a gateway's upstream from now on. */
     void setSlowdown(const std::string& name, int factor) { m_nodes.at(name)->slowdown = factor; }
 
+    /** @brief Sets whether a gateway's upstream refuses connections, as one that has ended does. */
+    void setRefusing(const std::string& name, bool isRefusing) { m_nodes.at(name)->isRefusing = isRefusing; }
+
     /** @brief Sets the rate, in requests per second, that a gateway's upstream names in its answers from now on. */
     void setRateLimit(const std::string& name, std::optional<double> rate) { m_nodes.at(name)->rateLimit = rate; }
 
@@ -118,6 +121,7 @@
         std::uint64_t incarnation = 0;
         std::uint32_t slots = 0;
         std::optional<double> rateLimit;
+        bool isRefusing = false;
         int slowdown = 1; /*!< Factor applied to the service times. */
         std::unique_ptr<gateway_core> core;
         store_read_mode readMode = store_read_mode::individual;
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -119,6 +119,8 @@
         { "catch up request", catch_up_request_message { 1, 2 } },
         { "catch up", catch_up_message { R"({"a":1})", "[]", { "n" }, 3, 4, 5 } },
         { "reported notices", reported_notices_message { "i-1", 0.5, true } },
+        { "crash report", crash_report_message { "i-1", { 0, UINT64_MAX } } },
+        { "quarantine", quarantine_message { { { UINT64_MAX, 2, milliseconds { 7 } }, { 1, 0, {} } } } },
         { "service times", service_times_message { { { "read", milliseconds { 7 } } } } },
         { "entry callers", entry_callers_message { { { "read", "visits", 7 } } } },
         { "store progress", store_progress_message { 3, 4, 5 } }, { "forward", fullForward() },
