Suspect nothing that an upstream has just answered, and hold longer

A popular content is running at every crash, and would be held back although it harms nobody: what the upstream has answered completely within the last second is no suspect now.

Also: a queued request could start at an upstream in the moment in which its answer says that it leaves (test failed before), and one of a replaced upstream when its rate limit was reset.

--- a/src/knapweedcroft/gateway/request_quarantine.cpp
+++ b/src/knapweedcroft/gateway/request_quarantine.cpp
@@ -9,8 +9,9 @@
 
 namespace internal {
 
-// Two crashes may be a coincidence for some of the contents, whose clients come back within seconds.
-static constexpr milliseconds secondCrashHold { 5000 };
+// Two crashes may be a coincidence for some of the contents. A trial of the one that is not costs an upstream for
+// seconds.
+static constexpr milliseconds secondCrashHold { 30'000 };
 static constexpr milliseconds thirdCrashHold { 60'000 }; // Doubles with each further crash.
 static constexpr milliseconds maxHold { 600'000 };
 static constexpr milliseconds retention { 600'000 }; // From the end of the hold.
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -324,6 +324,9 @@
     const upstream_notices notices
         = response != nullptr && !response->isMisdirected ? response->notices : upstream_notices {};
     const bool isLeaving = notices.isLeaving && m_registry.leave(request.upstream, now);
+    // Nothing that waits may start when the slot is freed.
+    if (isLeaving)
+        apply(m_queue.refuseAll(refusal_reason::draining, now), now, actions);
     if (response != nullptr && !response->isMisdirected)
         applyNotices(request, notices, now, actions);
     recordOutcome(request, event, now);
@@ -331,7 +334,7 @@
         = response != nullptr ? outcomeOf(request, *response, now, actions) : outcomeOf(request, *failure, actions);
     const bool isMeasured = response != nullptr && !response->isNotRun;
     if (isMeasured)
-        recordCompleteAnswer(request);
+        recordCompleteAnswer(request, now);
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
     forward_answer answer = makeAnswer(request, std::move(outcome), now);
     if (notices.isLeaving)
@@ -391,6 +394,8 @@
     crash.upstream = m_interrupted.front().request.upstream;
     for (const interrupted_request& item : m_interrupted) {
         const served_request& request = item.request;
+        if (m_completions.contains(request.digest, now))
+            continue;
         const interrupted_content content { request.digest, request.message.requestId, request.message.entry,
             request.message.request.target };
         if (request.upstream == crash.upstream)
@@ -428,8 +433,9 @@
 }
 
 // An upstream that answers a request which started after an interruption did not end with that interruption.
-void served_requests::recordCompleteAnswer(const served_request& request)
+void served_requests::recordCompleteAnswer(const served_request& request, time_point now)
 {
+    m_completions.record(request.digest, now);
     m_unexplained.erase(std::remove_if(m_unexplained.begin(), m_unexplained.end(),
                             [&request](const unexplained_interruption& item) {
                                 return item.upstream == request.upstream && item.at < *request.startedAt;
@@ -505,13 +511,14 @@
 
 void served_requests::handleUpstreamChange(time_point now, gateway_actions& actions)
 {
-    resetRate(now, actions);
     if (m_registry.isServing()) {
+        resetRate(now, actions);
         apply(m_queue.setSlots(m_registry.current()->slots, now), now, actions);
         return;
     }
     const bool isDraining = m_registry.state() == upstream_chart_state::draining;
     apply(m_queue.refuseAll(isDraining ? refusal_reason::draining : refusal_reason::no_upstream, now), now, actions);
+    resetRate(now, actions);
 }
 
 std::optional<time_point> served_requests::nextWakeup() const
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -7,6 +7,7 @@
 #include "knapweedcroft/gateway/downstream_admission_ratio.hpp"
 #include "knapweedcroft/gateway/entry_origin_classifier.hpp"
 #include "knapweedcroft/gateway/events.hpp"
+#include "knapweedcroft/gateway/recent_completions.hpp"
 #include "knapweedcroft/gateway/request_quarantine.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
 #include "knapweedcroft/gateway/upstream_queue.hpp"
@@ -102,6 +103,7 @@
      * @brief Uses the result of a check of the upstream to find out why exchanges broke off.
      *
      * If no process listens any more and all exchanges have broken off, the upstream crashed, unless it was leaving.
+     * Contents that it answered completely just before are no suspects: a popular one is running at every crash.
      * @return The crash, if there was one; its requests are answered by `answerInterrupted`.
      */
     [[nodiscard]] std::optional<upstream_crash> handleUpstreamCheck(bool isRefused, time_point now);
@@ -236,7 +238,7 @@
     [[nodiscard]] bool isInterruption(const served_request& request, const exchange_failure& failure) const;
     void suspend(served_request request, const exchange_failure& failure, time_point now, gateway_actions& actions);
     [[nodiscard]] bool hasExchangesSince(time_point time) const;
-    void recordCompleteAnswer(const served_request& request);
+    void recordCompleteAnswer(const served_request& request, time_point now);
     void setRate(std::optional<double> rate, time_point now, gateway_actions& actions);
     void resetRate(time_point now, gateway_actions& actions);
     [[nodiscard]] forward_outcome outcomeOf(
@@ -261,6 +263,7 @@
     std::vector<interrupted_request> m_interrupted;
     std::vector<unexplained_interruption> m_unexplained;
     std::vector<std::uint64_t> m_cleared;
+    recent_completions m_completions;
     std::optional<time_point> m_recheckAt; /*!< When to check the upstream again. */
     int m_checkCount = 0; /*!< Checks since exchanges broke off. */
     std::string m_rateUpstream; /*!< Identifier of the upstream that named the rate in force. */
--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -75,6 +75,9 @@
 /** @brief Generates a random sequence of faults of all kinds, which may overlap, on four hosts. */
 [[nodiscard]] fault_plan generateFaultPlan(std::uint64_t seed);
 
+/** @brief Adds upstreams that name a limit, leave or crash on a request to the faults of `generateFaultPlan`. */
+[[nodiscard]] fault_plan generateUpstreamPlan(std::uint64_t seed);
+
 /**
  * @brief Generates faults of the store and of nodes with series of configuration changes during and right after them.
  *
--- a/test/platform/soak/fault_soak.cpp
+++ b/test/platform/soak/fault_soak.cpp
@@ -50,6 +50,10 @@
 // request or none at all, against retries beyond the budget, and against nodes that do not recover after faults.
 TEST(FaultSoak, PromisesHoldUnderSeededFaults) { playSeeds(&generateFaultPlan); }
 
+// Guards, under the same faults, against requests beyond the limit of an upstream, requests to an upstream that leaves,
+// and a request that crashes one upstream after the other.
+TEST(UpstreamSoak, NoticesAndCrashesOfUpstreamsAreHeeded) { playSeeds(&generateUpstreamPlan); }
+
 // Guards against configuration changes that are in force too late or come back older after faults of the store.
 TEST(ConfigurationSoak, ChangesAreInForceInTime) { playSeeds(&generateConfigurationPlan); }
 
