--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -1,5 +1,6 @@
 #include "store_client.hpp"
 #include "fake_store.hpp"
+#include "soak/fault_relay.hpp"
 
 #include <gtest/gtest.h>
 
@@ -21,13 +22,17 @@
     void start()
     {
         m_reader = std::make_unique<topic_reader>(
-            m_loop, m_store.address(), m_era, topic_settings { "keyed.t", m_pollTimeout, {} }, 1,
+            m_loop, m_address.empty() ? m_store.address() : m_address, m_era,
+            topic_settings { "keyed.t", m_pollTimeout, {}, m_firstPollDelay }, 1,
             [this](const topic_update& update) {
                 m_isComplete = m_isComplete || update.isComplete;
                 for (const keyed_record& record : update.records)
                     m_keys.push_back(record.key);
             },
-            [this](bool isAvailable) { m_isAvailable = isAvailable; });
+            [this](bool isAvailable) {
+                m_isAvailable = isAvailable;
+                m_losses += isAvailable ? 0U : 1U;
+            });
         m_reader->start();
     }
 
@@ -50,6 +55,9 @@
     } };
     std::vector<std::uint64_t> m_eras;
     milliseconds m_pollTimeout { 2000 };
+    milliseconds m_firstPollDelay;
+    std::string m_address; /*!< That of the store if empty. */
+    std::size_t m_losses = 0; /*!< Times at which the store was reported as unavailable. */
     std::unique_ptr<topic_reader> m_reader;
     std::vector<std::string> m_keys;
     bool m_isComplete = false;
@@ -67,6 +75,21 @@
     EXPECT_EQ(m_store.snapshotCalls, 1U);
 }
 
+// Guards against a poll on a connection that has fallen silent during a pause: nothing but its timeout would tell, and
+// changes would be in force too late.
+TEST_F(store_client_test, PollsOnANewConnectionAfterAPause)
+{
+    fault_relay relay { m_loop, "127.0.0.1", m_store.address() };
+    m_address = relay.address();
+    m_firstPollDelay = milliseconds { 500 };
+    start();
+    ASSERT_TRUE(waitFor([this] { return m_isComplete; }));
+    relay.silenceConnections();
+    m_store.append("keyed.t", { "a", "value" });
+    ASSERT_TRUE(waitFor([this] { return hasKey("a"); }));
+    EXPECT_EQ(m_losses, 0U);
+}
+
 // The store may truncate its history at any time; the reader must then start over from the snapshot.
 TEST_F(store_client_test, ReadsAnewWhenTheHistoryIsGone)
 {
