Separate the detection of crashes from the served requests

Contents that the upstream had just answered are left out also when the next process shows the crash.

--- a/src/knapweedcroft/gateway/request_quarantine.cpp
+++ b/src/knapweedcroft/gateway/request_quarantine.cpp
@@ -9,8 +9,8 @@
 
 namespace internal {
 
-// Two crashes may be a coincidence for some of the contents. A trial of the one that is not costs an upstream for
-// seconds.
+// Some contents are running at two crashes by coincidence, but a trial of the one that caused them ends another
+// upstream.
 static constexpr milliseconds secondCrashHold { 30'000 };
 static constexpr milliseconds thirdCrashHold { 60'000 }; // Doubles with each further crash.
 static constexpr milliseconds maxHold { 600'000 };
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -12,16 +12,8 @@
 // An overload that outlasts the queue wait takes at least several seconds to clear, so earlier retries are of no use.
 static constexpr milliseconds overloadRetryAfter { 1000 };
 static constexpr milliseconds unavailableRetryAfter { 300 }; // A restarted upstream announces itself within this time.
-
 // About the time in which the suspected content that is running ends.
 static constexpr milliseconds suspectRetryAfter { 300 };
-// Exchanges of an upstream that has ended break off within milliseconds, so one that still runs speaks against a crash.
-static constexpr milliseconds recheckInterval { 20 };
-static constexpr int maxChecks = 5;
-static constexpr milliseconds restartTime {
-    5000
-}; // Longest time from an interruption to the start of the next process.
-static constexpr std::size_t maxUnexplained = 256;
 static constexpr double loggedRateChange = 0.25; // Share by which a rate changes before it is logged again.
 
 [[nodiscard]] static bool isSuccess(int status)
@@ -60,7 +52,7 @@
     const std::uint64_t id = ++m_lastId;
     served_request& request = m_requests[id];
     request.peer = peer;
-    request.slot = id;
+    request.id = id;
     request.message = std::move(received);
     const forward_request& message = request.message;
     request.deadline = now + message.deadline;
@@ -366,53 +358,34 @@
             { "upstream", request.upstream } },
         actions);
     ++m_counters.failed;
-    const std::uint64_t id = request.slot;
-    if (m_interrupted.empty()) {
-        m_checkCount = 1;
+    const std::uint64_t id = request.id;
+    const interrupted_content content { request.digest, request.message.requestId, request.message.entry,
+        request.message.request.target };
+    if (m_crashDetector.recordInterruption(request.upstream, content, now))
         actions.emplace_back(check_upstream { m_settings.upstreamAddress });
-    }
-    m_interrupted.push_back({ std::move(request), failure.cause.message, now });
+    m_interrupted.push_back({ std::move(request), failure.cause.message });
     apply(m_queue.release(id, false, now), now, actions);
 }
 
-bool served_requests::hasExchangesSince(time_point time) const
-{
-    return std::any_of(m_requests.begin(), m_requests.end(),
-        [time](const request_map::value_type& item) { return item.second.startedAt && *item.second.startedAt < time; });
-}
-
 std::optional<upstream_crash> served_requests::handleUpstreamCheck(bool isRefused, time_point now)
 {
-    if (m_interrupted.empty())
-        return std::nullopt;
-    const bool isRunning = hasExchangesSince(m_interrupted.front().at);
-    if (isRefused && isRunning && m_checkCount < internal::maxChecks) {
-        m_recheckAt = now + internal::recheckInterval;
-        return std::nullopt;
-    }
-    upstream_crash crash;
-    crash.upstream = m_interrupted.front().request.upstream;
-    for (const interrupted_request& item : m_interrupted) {
-        const served_request& request = item.request;
-        if (m_completions.contains(request.digest, now))
-            continue;
-        const interrupted_content content { request.digest, request.message.requestId, request.message.entry,
-            request.message.request.target };
-        if (request.upstream == crash.upstream)
-            crash.interrupted.push_back(content);
-        if (m_unexplained.size() < internal::maxUnexplained)
-            m_unexplained.push_back({ request.upstream, content, now });
+    std::optional<time_point> oldestStart;
+    for (const std::pair<const std::uint64_t, served_request>& item : m_requests) {
+        const std::optional<time_point>& start = item.second.startedAt;
+        if (start && (!oldestStart || *start < *oldestStart))
+            oldestStart = start;
     }
-    if (!isRefused || isRunning)
+    const check_verdict verdict = m_crashDetector.handleCheck(isRefused, oldestStart, now);
+    const upstream_crash* crash = std::get_if<upstream_crash>(&verdict);
+    if (crash == nullptr)
         return std::nullopt;
-    m_unexplained.clear();
     ++m_counters.crashes;
-    return crash;
+    return *crash;
 }
 
 void served_requests::answerInterrupted(time_point now, gateway_actions& actions)
 {
-    if (m_recheckAt)
+    if (m_crashDetector.isCheckPending())
         return;
     for (const interrupted_request& item : std::exchange(m_interrupted, {}))
         actions.emplace_back(
@@ -421,26 +394,14 @@
 
 std::optional<upstream_crash> served_requests::handleUpstreamReplaced(const std::string& upstream, time_point now)
 {
-    upstream_crash crash { upstream, {} };
-    for (const unexplained_interruption& item : std::exchange(m_unexplained, {})) {
-        if (item.upstream == upstream && now - item.at <= internal::restartTime)
-            crash.interrupted.push_back(item.content);
-    }
-    if (crash.interrupted.empty())
-        return std::nullopt;
-    ++m_counters.crashes;
+    const std::optional<upstream_crash> crash = m_crashDetector.handleReplacement(upstream, now);
+    m_counters.crashes += crash ? 1U : 0U;
     return crash;
 }
 
-// An upstream that answers a request which started after an interruption did not end with that interruption.
 void served_requests::recordCompleteAnswer(const served_request& request, time_point now)
 {
-    m_completions.record(request.digest, now);
-    m_unexplained.erase(std::remove_if(m_unexplained.begin(), m_unexplained.end(),
-                            [&request](const unexplained_interruption& item) {
-                                return item.upstream == request.upstream && item.at < *request.startedAt;
-                            }),
-        m_unexplained.end());
+    m_crashDetector.recordAnswer(request.upstream, request.digest, *request.startedAt, now);
     if (m_quarantine.clear(request.digest))
         m_cleared.push_back(request.digest);
 }
@@ -524,18 +485,16 @@
 std::optional<time_point> served_requests::nextWakeup() const
 {
     const std::optional<time_point> queue = m_queue.nextWakeup();
-    if (queue && m_recheckAt)
-        return std::min(*queue, *m_recheckAt);
-    return m_recheckAt ? m_recheckAt : queue;
+    const std::optional<time_point>& check = m_crashDetector.nextCheck();
+    if (queue && check)
+        return std::min(*queue, *check);
+    return check ? check : queue;
 }
 
 void served_requests::poll(time_point now, gateway_actions& actions)
 {
-    if (m_recheckAt && *m_recheckAt <= now) {
-        m_recheckAt.reset();
-        ++m_checkCount;
+    if (m_crashDetector.takeDueCheck(now))
         actions.emplace_back(check_upstream { m_settings.upstreamAddress });
-    }
     updateAdmissionRatio(now);
     apply(m_queue.poll(now), now, actions);
 }
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -4,10 +4,10 @@
 #include "knapweedcroft/gateway/actions.hpp"
 #include "knapweedcroft/gateway/admission_ratio_controller.hpp"
 #include "knapweedcroft/gateway/call_dependency_estimator.hpp"
+#include "knapweedcroft/gateway/crash_detector.hpp"
 #include "knapweedcroft/gateway/downstream_admission_ratio.hpp"
 #include "knapweedcroft/gateway/entry_origin_classifier.hpp"
 #include "knapweedcroft/gateway/events.hpp"
-#include "knapweedcroft/gateway/recent_completions.hpp"
 #include "knapweedcroft/gateway/request_quarantine.hpp"
 #include "knapweedcroft/gateway/settings.hpp"
 #include "knapweedcroft/gateway/upstream_queue.hpp"
@@ -40,27 +40,13 @@
     std::uint64_t crashes = 0; /*!< Crashes of the upstream. */
 };
 
-/** @brief What the end of an exchange shows about the upstream of this host. */
+/** @brief Change of the upstream of this host that the end of an exchange reveals. */
 enum class upstream_finding : std::uint8_t {
     none,
     unreachable, /*!< It cannot be reached any more, or another process has replaced it. */
     leaving /*!< It has said that it leaves. */
 };
 
-/** @brief Request that was running when an upstream crashed. */
-struct interrupted_content {
-    std::uint64_t digest = 0;
-    std::string requestId; /*!< Identifier of the attempt. */
-    std::string entry; /*!< Name of its catalogue entry. */
-    std::string target; /*!< Its path and query. */
-};
-
-/** @brief Crash of the upstream of this host. */
-struct upstream_crash {
-    std::string upstream; /*!< Identifier of the upstream. */
-    std::vector<interrupted_content> interrupted;
-};
-
 /**
  * @brief Requests for the upstream of this host, received from all nodes.
  *
@@ -95,28 +81,24 @@
 
     /**
      * @brief Handles the end of an exchange with the upstream.
-     * @return What is newly found.
+     * @return Change of the upstream that was not known before.
      */
     [[nodiscard]] upstream_finding handleExchangeEnd(exchange_ended event, time_point now, gateway_actions& actions);
 
     /**
-     * @brief Uses the result of a check of the upstream to find out why exchanges broke off.
-     *
-     * If no process listens any more and all exchanges have broken off, the upstream crashed, unless it was leaving.
-     * Contents that it answered completely just before are no suspects: a popular one is running at every crash.
-     * @return The crash, if there was one; its requests are answered by `answerInterrupted`.
+     * @brief Uses the result of a check of the upstream, which follows when exchanges break off.
+     * @param isRefused True if no process listens at the address of the upstream.
+     * @return The crash of the upstream, if there was one; its requests are answered by `answerInterrupted`.
      */
     [[nodiscard]] std::optional<upstream_crash> handleUpstreamCheck(bool isRefused, time_point now);
 
-    /** @brief Answers the requests whose exchanges broke off as failed, unless another check of the upstream is due. */
+    /** @brief Answers the requests whose exchanges broke off as failed, unless the upstream is still being checked. */
     void answerInterrupted(time_point now, gateway_actions& actions);
 
     /**
      * @brief Handles the replacement of an upstream that did not leave.
-     *
-     * It may have restarted so fast that the check reached the next process.
      * @param upstream Identifier of the replaced upstream.
-     * @return Its crash, if exchanges with it had broken off unexplained shortly before.
+     * @return Its crash, if it had gone unnoticed.
      */
     [[nodiscard]] std::optional<upstream_crash> handleUpstreamReplaced(const std::string& upstream, time_point now);
 
@@ -198,22 +180,14 @@
         time_point target;
         std::optional<time_point> startedAt;
         std::string upstream; /*!< Identifier of the upstream to which the request was sent. */
-        std::uint64_t digest = 0;
-        std::uint64_t slot = 0; /*!< Identifier in the queue. */
+        std::uint64_t digest = 0; /*!< Of its content. */
+        std::uint64_t id = 0; /*!< Identifier in the queue and of the exchange. */
     };
 
     /** @brief Request whose exchange broke off; it is answered once it is known whether the upstream crashed. */
     struct interrupted_request {
         served_request request;
         std::string cause;
-        time_point at;
-    };
-
-    /** @brief Content whose exchange broke off although a process listened afterwards. */
-    struct unexplained_interruption {
-        std::string upstream;
-        interrupted_content content;
-        time_point at;
     };
 
     using request_map = std::unordered_map<std::uint64_t, served_request>;
@@ -237,7 +211,6 @@
     [[nodiscard]] std::optional<forward_refusal> quarantineRefusal(std::uint64_t id, time_point now) const;
     [[nodiscard]] bool isInterruption(const served_request& request, const exchange_failure& failure) const;
     void suspend(served_request request, const exchange_failure& failure, time_point now, gateway_actions& actions);
-    [[nodiscard]] bool hasExchangesSince(time_point time) const;
     void recordCompleteAnswer(const served_request& request, time_point now);
     void setRate(std::optional<double> rate, time_point now, gateway_actions& actions);
     void resetRate(time_point now, gateway_actions& actions);
@@ -260,12 +233,9 @@
     std::unordered_map<std::string, double> m_admissionCredits; /*!< Per entry; one per admitted request. */
     request_map m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_idsByPeer;
+    crash_detector m_crashDetector;
     std::vector<interrupted_request> m_interrupted;
-    std::vector<unexplained_interruption> m_unexplained;
-    std::vector<std::uint64_t> m_cleared;
-    recent_completions m_completions;
-    std::optional<time_point> m_recheckAt; /*!< When to check the upstream again. */
-    int m_checkCount = 0; /*!< Checks since exchanges broke off. */
+    std::vector<std::uint64_t> m_cleared; /*!< Suspected contents that the upstream has answered. */
     std::string m_rateUpstream; /*!< Identifier of the upstream that named the rate in force. */
     reported_notices_message m_reported; /*!< Latest report of a peer; without an identifier if there is none. */
     double m_loggedRate = 0.0; /*!< Rate of the latest log line, in requests per second. */
--- a/src/knapweedcroft/gateway/upstream_queue.hpp
+++ b/src/knapweedcroft/gateway/upstream_queue.hpp
@@ -65,8 +65,8 @@
  * alternative, and otherwise after an eighth of its target latency, except for sub-calls, which wait as long as their
  * deadline can be met.
  *
- * An upstream that names a rate is in need, and the wait for it is known. So a request with an alternative waits for it
- * no longer than a late one does, and a sub-call whose predicted answer misses its deadline is refused.
+ * If the upstream names a rate, the wait for it is known exactly. So a request with an alternative waits no longer than
+ * a late one does, and a sub-call whose predicted answer misses its deadline is refused.
  */
 class upstream_queue {
 public:
