--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -394,7 +394,7 @@
 
 std::optional<upstream_crash> served_requests::handleUpstreamReplaced(const std::string& upstream, time_point now)
 {
-    const std::optional<upstream_crash> crash = m_crashDetector.handleReplacement(upstream, now);
+    std::optional<upstream_crash> crash = m_crashDetector.handleReplacement(upstream, now);
     m_counters.crashes += crash ? 1U : 0U;
     return crash;
 }
