--- a/test/platform/boundary.cpp
+++ b/test/platform/boundary.cpp
@@ -27,8 +27,9 @@
 {
     const std::vector<std::string> names { "PathPrefix", "TrafficSplit", "MaxAttempts", "TargetLatency",
         "X-Expect-Instance", "X-Not-Executed", "X-Server-Load", "X-Response-Signature", "X-Caller-Service",
-        "X-Deadline-Ms", "X-Request-Id", "X-Instance-Id", "/knapweedcroft/", "KNAPWEEDCROFT_BOOT", "HeartbeatUrl",
-        "ColdRemaining", "log-append", "log-read", "log-newest", "keyed.op", "ListenAddrs", "NodeName" };
+        "X-Deadline-Ms", "X-Request-Id", "X-Instance-Id", "Server-Limit", "Server-Leaving", "/knapweedcroft/",
+        "KNAPWEEDCROFT_BOOT", "HeartbeatUrl", "ColdRemaining", "log-append", "log-read", "log-newest", "keyed.op",
+        "ListenAddrs", "NodeName" };
     for (const char* folder : { "src", "bench", "charts" }) {
         for (const std::filesystem::directory_entry& file :
             std::filesystem::recursive_directory_iterator { root / folder }) {
