Accept reports of crashes of up to 4,096 requests

Found by reading the diff: a receiver closes the link on a list of more than 1,024 names, and the lists of digests had the same bound. The crash of an upstream that runs more requests would have closed the links of its node. Receivers accept 65,536 items, the sender reports 4,096 at most, which is what a node remembers.

Codec.TransfersTheReportOfACrashOfManyRequests failed before.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -17,6 +17,7 @@
 static constexpr milliseconds maxConnectTime { 1500 };
 static constexpr milliseconds linkPlanInterval { 1000 };
 static constexpr milliseconds shareInterval { 100 };
+static constexpr std::size_t maxReportedContents = 4096; // More are not remembered.
 // The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
 static constexpr std::uint64_t maxEraJump = 1000;
 
@@ -138,8 +139,10 @@
 {
     crash_report_message report;
     report.upstream = crash.upstream;
-    for (const interrupted_content& content : crash.interrupted)
-        report.digests.push_back(content.digest);
+    for (const interrupted_content& content : crash.interrupted) {
+        if (report.digests.size() < internal::maxReportedContents)
+            report.digests.push_back(content.digest);
+    }
     if (!m_quarantine.recordCrash(report.upstream, report.digests, m_now))
         return;
     actions.emplace_back(internal::makeLogLine(log_level::warning, "upstream_crashed",
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -657,7 +657,7 @@
 {
     crash_report_message message;
     message.upstream = reader.text("upstream", maxTextBytes);
-    for (const wire_json& item : reader.list("digests", maxNames)) {
+    for (const wire_json& item : reader.list("digests", maxRecords)) {
         if (!item.is_number_unsigned()) {
             reader.fail("digests", "a list of numbers");
             return message;
@@ -678,7 +678,7 @@
 
 [[nodiscard]] static peer_message readQuarantine(field_reader& reader, std::string&&)
 {
-    return quarantine_message { readItems(reader, "entries", maxNames, &readQuarantineEntry) };
+    return quarantine_message { readItems(reader, "entries", maxRecords, &readQuarantineEntry) };
 }
 
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -258,4 +258,21 @@
     EXPECT_LT(accepted, 60'000U);
 }
 
+// Guards against links that close because an upstream with thousands of slots crashed.
+TEST(Codec, TransfersTheReportOfACrashOfManyRequests)
+{
+    crash_report_message report { "i-1", {} };
+    quarantine_message suspects;
+    for (std::uint64_t digest = 0; digest < 4096; ++digest) {
+        report.digests.push_back(digest);
+        suspects.entries.push_back({ digest, 1, {} });
+    }
+    const result<peer_message> reportRead = decode(encode(report));
+    ASSERT_TRUE(hasValue(reportRead)) << errorOf(reportRead).message;
+    EXPECT_EQ(std::get<crash_report_message>(valueOf(reportRead)).digests, report.digests);
+    const result<peer_message> suspectsRead = decode(encode(suspects));
+    ASSERT_TRUE(hasValue(suspectsRead)) << errorOf(suspectsRead).message;
+    EXPECT_EQ(std::get<quarantine_message>(valueOf(suspectsRead)).entries, suspects.entries);
+}
+
 } // namespace knapweedcroft
