Share what the incident fixes wrote twice

Found by rereading the change; behaviour stays the same.

- node_directory and request_quarantine each kept a bounded set of identifiers with its order: both use recent_ids.
- Messages to the replicas of the own data centre were sent by two equal loops: sendToReplicas.
- An interrupted exchange was logged and counted by a copy of outcomeOf.
- The limit of a crash report repeated that of the quarantine.
- The digest of a request was computed up to three times at the node where it began; it is kept with the request.
- handleExchangeEnd recorded the outcome in two branches.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -17,7 +17,6 @@
 static constexpr milliseconds maxConnectTime { 1500 };
 static constexpr milliseconds linkPlanInterval { 1000 };
 static constexpr milliseconds shareInterval { 100 };
-static constexpr std::size_t maxReportedContents = 4096; // More are not remembered.
 // The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
 static constexpr std::uint64_t maxEraJump = 1000;
 
@@ -140,7 +139,7 @@
     crash_report_message report;
     report.upstream = crash.upstream;
     for (const interrupted_content& content : crash.interrupted) {
-        if (report.digests.size() < internal::maxReportedContents)
+        if (report.digests.size() < request_quarantine::maxSuspects)
             report.digests.push_back(content.digest);
     }
     if (!m_quarantine.recordCrash(report.upstream, report.digests, m_now))
@@ -738,8 +737,12 @@
     const known_node* known = m_directory.find(sender);
     const bool isRemoteReplica = known != nullptr && known->record.data_centre != m_settings.data_centre
         && known->record.upstream.service == m_settings.service;
-    if (!isRemoteReplica)
-        return;
+    if (isRemoteReplica)
+        sendToReplicas(message, actions);
+}
+
+void gateway_core::sendToReplicas(const peer_message& message, gateway_actions& actions) const
+{
     for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
         if (isLocalReplica(item.first))
             actions.emplace_back(send_to_peer { item.first, message });
@@ -778,12 +781,8 @@
 void gateway_core::shareCallers(gateway_actions& actions)
 {
     const entry_callers_message callers { m_served.takeNewCallers() };
-    if (callers.counts.empty())
-        return;
-    for (const std::pair<const node_name, known_node>& item : m_directory.nodes()) {
-        if (isLocalReplica(item.first))
-            actions.emplace_back(send_to_peer { item.first, callers });
-    }
+    if (!callers.counts.empty())
+        sendToReplicas(callers, actions);
 }
 
 void gateway_core::requestCatchUp(gateway_actions& actions)
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -127,6 +127,7 @@
     void shareServiceTimes(gateway_actions& actions);
     void shareCleared(gateway_actions& actions);
     void reportCrash(const upstream_crash& crash, gateway_actions& actions);
+    void sendToReplicas(const peer_message& message, gateway_actions& actions) const;
     void relayToReplicas(const node_name& sender, const peer_message& message, gateway_actions& actions) const;
     void logLoad(gateway_actions& actions);
     void requestCatchUp(gateway_actions& actions);
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -13,7 +13,6 @@
 namespace internal {
 
 static constexpr std::int64_t maxSlots = 1'000'000;
-static constexpr std::size_t maxLeavingUpstreams = 1024; // Exceeds the hosts of a fleet that is replaced at once.
 
 [[nodiscard]] static nlohmann::json toJson(const directory_record& record)
 {
@@ -81,7 +80,7 @@
         known.record.writtenAt = record.writtenAt;
         return std::exchange(known.record.peerAddress, record.peerAddress) != record.peerAddress;
     }
-    const bool isServing = record.upstream.state == upstream_state::serving && !isLeaving(after.id);
+    const bool isServing = record.upstream.state == upstream_state::serving && !m_leavingUpstreams.contains(after.id);
     const bool isChanged
         = before != after || known.record.peerAddress != record.peerAddress || known.isServing != isServing;
     known.record = record;
@@ -150,7 +149,7 @@
     known_node& known = position->second;
     upstream_incarnation& incarnation = known.record.upstream.incarnation;
     const bool isOtherIncarnation = incarnation != upstream_incarnation { status.upstream, status.startedAt };
-    const bool isServing = status.isServing && !isLeaving(status.upstream);
+    const bool isServing = status.isServing && !m_leavingUpstreams.contains(status.upstream);
     const bool isChanged = isOtherIncarnation || known.isServing != isServing;
     incarnation = upstream_incarnation { status.upstream, status.startedAt };
     known.record.upstream.slots = status.load.slots;
@@ -182,7 +181,7 @@
         return std::nullopt;
     reported_notices_message message;
     message.upstream = known->record.upstream.incarnation.id;
-    message.isLeaving = isLeaving(message.upstream);
+    message.isLeaving = m_leavingUpstreams.contains(message.upstream);
     if (known->namedRate && known->namedRate->upstream == message.upstream)
         message.rate = known->namedRate->rate;
     return message.isLeaving || message.rate ? std::optional { message } : std::nullopt;
@@ -202,13 +201,7 @@
         position->second.isServing = false;
         position->second.record.upstream.state = upstream_state::draining;
     }
-    if (!m_leavingUpstreams.insert(upstream).second)
-        return;
-    m_leavingOrder.push_back(upstream);
-    if (m_leavingOrder.size() <= internal::maxLeavingUpstreams)
-        return;
-    m_leavingUpstreams.erase(m_leavingOrder.front());
-    m_leavingOrder.pop_front();
+    m_leavingUpstreams.insert(upstream);
 }
 
 const known_node* node_directory::find(const node_name& node) const
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -3,14 +3,14 @@
 
 #include "knapweedcroft/core/error.hpp"
 #include "knapweedcroft/core/fwd.hpp"
+#include "knapweedcroft/gateway/recent_ids.hpp"
 #include "knapweedcroft/gateway/upstream_registry.hpp"
 #include "knapweedcroft/wire/messages.hpp"
 
+#include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -133,12 +133,12 @@
     [[nodiscard]] static result<std::vector<directory_record>> parseRecords(std::string_view text);
 
 private:
-    [[nodiscard]] bool isLeaving(const std::string& upstream) const { return m_leavingUpstreams.count(upstream) != 0; }
+    static constexpr std::size_t maxLeavingUpstreams = 1024; // Exceeds the hosts of a fleet that is replaced at once.
+
     [[nodiscard]] bool isAddressInUse(const directory_record& record) const;
 
     std::map<node_name, known_node> m_nodes;
-    std::set<std::string> m_leavingUpstreams; /*!< Identifiers; each incarnation has a new one. */
-    std::deque<std::string> m_leavingOrder; /*!< The same, the earliest first. */
+    recent_ids m_leavingUpstreams { maxLeavingUpstreams }; /*!< Each incarnation has a new identifier. */
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -122,18 +122,18 @@
     return candidates;
 }
 
-quarantine_status origin_requests::quarantineStatusOf(const origin_request& request, time_point now) const
+quarantine_status origin_requests::quarantineStatusOf(origin_request& request, time_point now) const
 {
     if (m_quarantine.empty())
         return {};
-    return m_quarantine.statusOf(digestOf(m_settings.service, request.request), now);
+    if (!request.digest)
+        request.digest = digestOf(m_settings.service, request.request);
+    return m_quarantine.statusOf(*request.digest, now);
 }
 
 // Nodes that know the same upstreams select the same one for a content, so that it does not end two of them at a time.
-void origin_requests::restrictToOneUpstream(
-    const origin_request& request, std::vector<upstream_candidate>& candidates) const
+static void restrictToOneUpstream(std::uint64_t digest, std::vector<upstream_candidate>& candidates)
 {
-    const std::uint64_t digest = digestOf(m_settings.service, request.request);
     const auto selected = std::max_element(
         candidates.begin(), candidates.end(), [digest](const upstream_candidate& lhs, const upstream_candidate& rhs) {
             return hash64(lhs.node, digest) < hash64(rhs.node, digest);
@@ -155,7 +155,7 @@
     }
     std::vector<upstream_candidate> candidates = candidatesFor(request, now);
     if (status.isSuspected())
-        restrictToOneUpstream(request, candidates);
+        restrictToOneUpstream(*request.digest, candidates);
     const milliseconds latencyBudget = std::min(request.entry->targetLatency, request.entry->timeout);
     const selection_request requirements { request.entry->name, latencyBudget - (now - request.arrival) };
     const std::optional<std::size_t> chosen = m_upstreamSelector.choose(candidates, requirements, now);
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -114,6 +114,7 @@
         service_name service;
         std::string requestId;
         opaque_request request;
+        std::optional<std::uint64_t> digest; /*!< Of the content; set when it is first needed. */
         time_point arrival;
         time_point clientDeadline; /*!< Time at which the client stops waiting. */
         time_point deadline; /*!< Earlier of the client deadline and the timeout of the entry. */
@@ -131,8 +132,7 @@
     void send(std::uint64_t id, const upstream_candidate& target, bool hasAlternative, time_point now,
         gateway_actions& actions);
     [[nodiscard]] std::vector<upstream_candidate> candidatesFor(const origin_request& request, time_point now) const;
-    [[nodiscard]] quarantine_status quarantineStatusOf(const origin_request& request, time_point now) const;
-    void restrictToOneUpstream(const origin_request& request, std::vector<upstream_candidate>& candidates) const;
+    [[nodiscard]] quarantine_status quarantineStatusOf(origin_request& request, time_point now) const;
     [[nodiscard]] bool isPastProcessEnd(const origin_request& request, time_point now) const;
     [[nodiscard]] bool spendRetry(const origin_request& request, time_point now);
     void handleRefusal(std::uint64_t id, const forward_refusal& refusal, time_point now, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/request_quarantine.cpp
+++ b/src/knapweedcroft/gateway/request_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -15,8 +16,6 @@
 static constexpr milliseconds thirdCrashHold { 60'000 }; // Doubles with each further crash.
 static constexpr milliseconds maxHold { 600'000 };
 static constexpr milliseconds retention { 600'000 }; // From the end of the hold.
-static constexpr std::size_t maxSuspects = 4096;
-static constexpr std::size_t maxKnownCrashes = 1024;
 static constexpr std::size_t maxReportedEntries = 1024;
 
 [[nodiscard]] static milliseconds holdAfter(std::uint32_t crashes)
@@ -36,13 +35,8 @@
 bool request_quarantine::recordCrash(
     const std::string& upstream, const std::vector<std::uint64_t>& digests, time_point now)
 {
-    if (!m_knownCrashes.insert(upstream).second)
+    if (!m_knownCrashes.insert(upstream))
         return false;
-    m_crashOrder.push_back(upstream);
-    if (m_crashOrder.size() > internal::maxKnownCrashes) {
-        m_knownCrashes.erase(m_crashOrder.front());
-        m_crashOrder.pop_front();
-    }
     for (const std::uint64_t digest : std::set<std::uint64_t> { digests.begin(), digests.end() }) {
         if (m_entries.count(digest) == 0)
             makeRoom();
@@ -75,7 +69,7 @@
 // The contents with the fewest crashes, and of these the earliest, give way.
 void request_quarantine::makeRoom()
 {
-    if (m_entries.size() < internal::maxSuspects)
+    if (m_entries.size() < maxSuspects)
         return;
     using item_type = std::pair<const std::uint64_t, suspect>;
     const auto least
--- a/src/knapweedcroft/gateway/request_quarantine.hpp
+++ b/src/knapweedcroft/gateway/request_quarantine.hpp
@@ -2,12 +2,11 @@
 #define KNAPWEEDCROFT_GATEWAY_REQUEST_QUARANTINE_HPP
 
 #include "knapweedcroft/core/time.hpp"
+#include "knapweedcroft/gateway/recent_ids.hpp"
 #include "knapweedcroft/wire/messages.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,6 +31,8 @@
  */
 class request_quarantine {
 public:
+    static constexpr std::size_t maxSuspects = 4096; /*!< Number of contents that are remembered. */
+
     /**
      * @brief Records the crash of an upstream.
      * @param upstream Identifier of the upstream; each incarnation has a new one.
@@ -72,6 +73,8 @@
     [[nodiscard]] std::vector<quarantine_entry> entries(time_point now) const;
 
 private:
+    static constexpr std::size_t maxKnownCrashes = 1024;
+
     struct suspect {
         std::uint32_t crashes = 0;
         time_point lastCrash;
@@ -81,8 +84,7 @@
     void makeRoom();
 
     std::unordered_map<std::uint64_t, suspect> m_entries;
-    std::set<std::string> m_knownCrashes; /*!< Identifiers of crashed upstreams. */
-    std::deque<std::string> m_crashOrder; /*!< The same, the earliest first. */
+    recent_ids m_knownCrashes { maxKnownCrashes }; /*!< Identifiers of crashed upstreams. */
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -308,20 +308,20 @@
     served_request request = extract(position);
     upstream_response* response = std::get_if<upstream_response>(&event.outcome);
     const exchange_failure* failure = std::get_if<exchange_failure>(&event.outcome);
+    recordOutcome(request, event, now);
     if (failure != nullptr && isInterruption(request, *failure)) {
-        recordOutcome(request, event, now);
         suspend(std::move(request), *failure, now, actions);
         return upstream_finding::none;
     }
-    const upstream_notices notices
-        = response != nullptr && !response->isMisdirected ? response->notices : upstream_notices {};
+    const bool isWrongUpstream = response != nullptr && response->isMisdirected;
+    const bool isFromUpstream = response != nullptr && !isWrongUpstream;
+    const upstream_notices notices = isFromUpstream ? response->notices : upstream_notices {};
     const bool isLeaving = notices.isLeaving && m_registry.leave(request.upstream, now);
     // Nothing that waits may start when the slot is freed.
     if (isLeaving)
         apply(m_queue.refuseAll(refusal_reason::draining, now), now, actions);
-    if (response != nullptr && !response->isMisdirected)
+    if (isFromUpstream)
         applyNotices(request, notices, now, actions);
-    recordOutcome(request, event, now);
     forward_outcome outcome
         = response != nullptr ? outcomeOf(request, *response, now, actions) : outcomeOf(request, *failure, actions);
     const bool isMeasured = response != nullptr && !response->isNotRun;
@@ -336,7 +336,6 @@
     if (isLeaving)
         return upstream_finding::leaving;
     const bool isUnreachable = failure != nullptr && !failure->wasWritten;
-    const bool isWrongUpstream = response != nullptr && response->isMisdirected;
     return (isUnreachable || isWrongUpstream) && m_registry.markUnreachable(request.upstream)
         ? upstream_finding::unreachable
         : upstream_finding::none;
@@ -353,17 +352,13 @@
 void served_requests::suspend(
     served_request request, const exchange_failure& failure, time_point now, gateway_actions& actions)
 {
-    log("exchange_failed", request,
-        { { "cause", failure.cause.message }, { "written", "true" }, { "digest", formatDigest(request.digest) },
-            { "upstream", request.upstream } },
-        actions);
-    ++m_counters.failed;
+    forward_outcome outcome = outcomeOf(request, failure, actions);
     const std::uint64_t id = request.id;
     const interrupted_content content { request.digest, request.message.requestId, request.message.entry,
         request.message.request.target };
     if (m_crashDetector.recordInterruption(request.upstream, content, now))
         actions.emplace_back(check_upstream { m_settings.upstreamAddress });
-    m_interrupted.push_back({ std::move(request), failure.cause.message });
+    m_interrupted.push_back({ std::move(request), std::move(outcome) });
     apply(m_queue.release(id, false, now), now, actions);
 }
 
@@ -387,9 +382,9 @@
 {
     if (m_crashDetector.isCheckPending())
         return;
-    for (const interrupted_request& item : std::exchange(m_interrupted, {}))
+    for (interrupted_request& item : std::exchange(m_interrupted, {}))
         actions.emplace_back(
-            send_to_peer { item.request.peer, makeAnswer(item.request, forward_failure { item.cause }, now) });
+            send_to_peer { item.request.peer, makeAnswer(item.request, std::move(item.outcome), now) });
 }
 
 std::optional<upstream_crash> served_requests::handleUpstreamReplaced(const std::string& upstream, time_point now)
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -187,7 +187,7 @@
     /** @brief Request whose exchange broke off; it is answered once it is known whether the upstream crashed. */
     struct interrupted_request {
         served_request request;
-        std::string cause;
+        forward_outcome outcome;
     };
 
     using request_map = std::unordered_map<std::uint64_t, served_request>;
