--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -516,15 +516,19 @@
         return {};
     }
 
-    // Ends all exchanges of a node's upstream without an answer.
-    void breakOff(const std::string& node)
+    // Ends all exchanges of a node's upstream in the same way.
+    void endAll(const std::string& node, const std::variant<upstream_response, exchange_failure>& outcome)
     {
         for (const start_exchange& started : std::vector<start_exchange> { m_group.exchanges(node) }) {
             if (m_ended.insert({ node, started.id }).second)
-                m_group.handle(node,
-                    exchange_ended {
-                        started.id, exchange_failure { true, error { error_kind::connection_failed, "closed" } } });
+                m_group.handle(node, exchange_ended { started.id, outcome });
         }
+    }
+
+    // Ends all exchanges of a node's upstream without an answer.
+    void breakOff(const std::string& node)
+    {
+        endAll(node, exchange_failure { true, error { error_kind::connection_failed, "closed" } });
         m_group.run(milliseconds { 5 });
     }
 
@@ -550,10 +554,7 @@
     // Answers the requests that run at a node.
     void answer(const std::string& node)
     {
-        for (const start_exchange& started : std::vector<start_exchange> { m_group.exchanges(node) }) {
-            if (m_ended.insert({ node, started.id }).second)
-                m_group.handle(node, exchange_ended { started.id, upstream_response {} });
-        }
+        endAll(node, upstream_response {});
         m_group.run(milliseconds { 150 });
     }
 
--- a/test/platform/soak/configuration_faults.cpp
+++ b/test/platform/soak/configuration_faults.cpp
@@ -1,12 +1,9 @@
-#include "soak/soak_run.hpp"
-
-#include <gtest/gtest.h>
+#include "soak/soak_expectation.hpp"
 
 namespace knapweedcroft::platform {
 
 namespace {
 
-constexpr std::uint64_t seed = 1;
 constexpr std::size_t lastHost = 3;
 constexpr milliseconds instant {};
 
@@ -20,14 +17,6 @@
     return plan;
 }
 
-void expectNoViolation(const fault_plan& plan)
-{
-    soak_run run { seed, plan };
-    const soak_report report = run.execute();
-    EXPECT_EQ(report.violations.size(), 0U)
-        << report.summary << "\n  " << (report.violations.empty() ? "" : report.violations.front());
-}
-
 } // namespace
 
 // Guards against a long poll into a silent store that hides the return of the store: a change confirmed right after the
--- a/test/platform/soak/notice_ledger.cpp
+++ b/test/platform/soak/notice_ledger.cpp
@@ -82,32 +82,38 @@
     return m_bounds.ratio * allowed + m_bounds.slack;
 }
 
-std::size_t notice_ledger::maxCounted() const
+// Returns the windows that begin with an arrival; those of an upstream follow each other.
+std::vector<notice_ledger::checked_window> notice_ledger::checkedWindows() const
 {
-    std::size_t most = 0;
+    std::vector<checked_window> windows;
     for (const std::pair<const std::string, arrival_times>& item : m_arrivals) {
         for (std::size_t first = 0; first < item.second.size(); ++first) {
-            if (allowance(item.first, item.second[first]))
-                most = std::max(most, countWindow(item.second, first));
+            if (const std::optional<double> allowed = allowance(item.first, item.second[first]))
+                windows.push_back({ item.first, countWindow(item.second, first), *allowed });
         }
     }
+    return windows;
+}
+
+std::size_t notice_ledger::maxCounted() const
+{
+    std::size_t most = 0;
+    for (const checked_window& window : checkedWindows())
+        most = std::max(most, window.count);
     return most;
 }
 
 std::vector<std::string> notice_ledger::violations() const
 {
     std::vector<std::string> found = m_afterLeave;
-    for (const std::pair<const std::string, arrival_times>& item : m_arrivals) {
-        for (std::size_t first = 0; first < item.second.size(); ++first) {
-            const std::optional<double> allowed = allowance(item.first, item.second[first]);
-            const std::size_t count = countWindow(item.second, first);
-            if (!allowed || static_cast<double>(count) <= *allowed)
-                continue;
-            found.push_back(item.first + ": named a limit and received " + std::to_string(count) + " requests in "
-                + std::to_string(m_bounds.window.whole()) + " ms from nodes that had passed it on; allowed "
-                + std::to_string(*allowed));
-            break;
-        }
+    std::string reported; // Upstream whose first violation has been reported.
+    for (const checked_window& window : checkedWindows()) {
+        if (static_cast<double>(window.count) <= window.allowed || window.upstream == reported)
+            continue;
+        reported = window.upstream;
+        found.push_back(window.upstream + ": named a limit and received " + std::to_string(window.count)
+            + " requests in " + std::to_string(m_bounds.window.whole())
+            + " ms from nodes that had passed it on; allowed " + std::to_string(window.allowed));
     }
     return found;
 }
--- a/test/platform/soak/notice_ledger.hpp
+++ b/test/platform/soak/notice_ledger.hpp
@@ -62,6 +62,13 @@
         std::optional<time_point> until;
     };
 
+    /** @brief Window in which a limit bound the nodes all the while. */
+    struct checked_window {
+        std::string upstream;
+        std::size_t count = 0; /*!< Requests that arrived in it. */
+        double allowed = 0.0;
+    };
+
     using arrival_times = std::vector<time_point>;
     using told_times = std::map<std::string, std::map<std::string, time_point>>; /*!< By node and upstream. */
 
@@ -69,6 +76,7 @@
         const told_times& told, const std::string& node, const std::string& upstream);
 
     [[nodiscard]] std::size_t countWindow(const arrival_times& arrivals, std::size_t first) const;
+    [[nodiscard]] std::vector<checked_window> checkedWindows() const;
     [[nodiscard]] std::optional<double> allowance(const std::string& upstream, time_point from) const;
 
     notice_bounds m_bounds;
--- a/test/platform/soak/poison_requests.cpp
+++ b/test/platform/soak/poison_requests.cpp
@@ -1,6 +1,4 @@
-#include "soak/soak_run.hpp"
-
-#include <gtest/gtest.h>
+#include "soak/soak_expectation.hpp"
 
 namespace knapweedcroft::platform {
 
@@ -11,10 +9,7 @@
     fault_plan plan;
     plan.loadDuration = milliseconds { 8000 };
     plan.faults = { { fault_kind::poison_requests, 0, milliseconds { 500 }, milliseconds { 7000 } } };
-    soak_run run { 1, plan };
-    const soak_report report = run.execute();
-    EXPECT_EQ(report.violations.size(), 0U)
-        << report.summary << "\n  " << (report.violations.empty() ? "" : report.violations.front());
+    expectNoViolation(plan);
 }
 
 } // namespace knapweedcroft::platform
--- a/test/platform/soak/upstream_notices.cpp
+++ b/test/platform/soak/upstream_notices.cpp
@@ -1,13 +1,9 @@
-#include "soak/soak_run.hpp"
-
-#include <gtest/gtest.h>
+#include "soak/soak_expectation.hpp"
 
 namespace knapweedcroft::platform {
 
 namespace {
 
-constexpr std::uint64_t seed = 1;
-
 [[nodiscard]] fault_plan makePlan(std::vector<planned_fault> faults)
 {
     fault_plan plan;
@@ -16,14 +12,6 @@
     return plan;
 }
 
-void expectNoViolation(const fault_plan& plan)
-{
-    soak_run run { seed, plan };
-    const soak_report report = run.execute();
-    EXPECT_EQ(report.violations.size(), 0U)
-        << report.summary << "\n  " << (report.violations.empty() ? "" : report.violations.front());
-}
-
 } // namespace
 
 // Guards against nodes that ignore the limit which an upstream in need names in its answers.
