--- a/review/harness.hpp
+++ b/review/harness.hpp
@@ -115,23 +115,27 @@
     return socket;
 }
 
-/** @brief Returns ports that are free now; they are taken together, so they differ. */
+/**
+ * @brief Returns ports that are free now. They lie below the usual range of ephemeral ports, so that no outgoing
+ * connection takes one before its server listens.
+ */
 inline std::vector<int> freePorts(std::size_t count)
 {
-    std::vector<int> sockets;
+    constexpr int firstPort = 12000;
+    constexpr int portCount = 18000;
+    static int next = static_cast<int>(::getpid()) * 53 % portCount;
     std::vector<int> ports;
-    for (std::size_t i = 0; i < count; ++i) {
-        const int socket = openSocket();
-        sockaddr_in address = loopback(0);
-        socklen_t size = sizeof(address);
-        if (::bind(socket, reinterpret_cast<sockaddr*>(&address), size) != 0
-            || ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+    for (int tries = 0; ports.size() < count; ++tries) {
+        if (tries > portCount)
             std::exit(2);
-        sockets.push_back(socket);
-        ports.push_back(ntohs(address.sin_port));
-    }
-    for (const int socket : sockets)
+        const int port = firstPort + next;
+        next = (next + 1) % portCount;
+        const int socket = openSocket();
+        const sockaddr_in address = loopback(port);
+        if (::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
+            ports.push_back(port);
         ::close(socket);
+    }
     return ports;
 }
 
