Acknowledge a leave only once it outlasts the process

Cause: the acknowledgement depended on the process alone. The record waited for the store, and the status to peers did not tell a leave from a silence, so they accepted "serving" from the next process.

Change: the status says that the upstream leaves; peers keep this for the incarnation, confirm it and tell it to a process that starts. The node answers a leave once the store holds its record, or, if the store does not answer for 300 ms, once a peer has confirmed it; otherwise with 503 after 900 ms, and the backend repeats it. The same holds for `draining` and for the leave of an upstream that the process does not know yet.

--- a/src/knapweedcroft/gateway/actions.hpp
+++ b/src/knapweedcroft/gateway/actions.hpp
@@ -2,6 +2,7 @@
 #define KNAPWEEDCROFT_GATEWAY_ACTIONS_HPP
 
 #include "knapweedcroft/gateway/entry_table.hpp"
+#include "knapweedcroft/gateway/leave_acknowledgements.hpp"
 #include "knapweedcroft/gateway/node_directory.hpp"
 #include "knapweedcroft/gateway/store_read_election.hpp"
 #include "knapweedcroft/http/message.hpp"
@@ -57,6 +58,11 @@
 /** @brief Removes the record of this node from the directory. */
 struct withdraw_record { };
 
+/** @brief Answers the upstream of this host, which has announced that it leaves. */
+struct settle_leave {
+    leave_verdict verdict;
+};
+
 /** @brief Sets how this node reads the store. */
 struct set_store_read_mode {
     store_read_mode mode = store_read_mode::individual;
@@ -73,8 +79,9 @@
 };
 
 /** @brief Output of a gateway, performed by the runtime. */
-using gateway_action = std::variant<answer_client, start_exchange, cancel_exchange, check_upstream, publish_record,
-    withdraw_record, set_store_read_mode, reread_store, apply_limits, send_to_peer, open_link, close_link, write_log>;
+using gateway_action
+    = std::variant<answer_client, start_exchange, cancel_exchange, check_upstream, publish_record, withdraw_record,
+        settle_leave, set_store_read_mode, reread_store, apply_limits, send_to_peer, open_link, close_link, write_log>;
 
 /** @brief Actions in the order in which they must be performed. */
 using gateway_actions = std::vector<gateway_action>;
--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -75,6 +75,9 @@
     std::string upstream;
 };
 
+/** @brief The store holds the latest record of this node. */
+struct record_stored { };
+
 /** @brief A version of the catalogue was read from the store. */
 struct catalogue_read {
     std::shared_ptr<const entry_table> table;
@@ -119,9 +122,9 @@
 
 /** @brief Input of a gateway. */
 using gateway_event = std::variant<client_request, client_disconnected, exchange_ended, upstream_checked,
-    announcement_received, leave_received, catalogue_read, directory_read, catalogue_confirmed, store_era_changed,
-    store_availability_changed, retry_settings_changed, stop_requested, link_suspected, link_opened, link_closed,
-    message_received, timer_fired>;
+    announcement_received, leave_received, record_stored, catalogue_read, directory_read, catalogue_confirmed,
+    store_era_changed, store_availability_changed, retry_settings_changed, stop_requested, link_suspected, link_opened,
+    link_closed, message_received, timer_fired>;
 
 } // namespace knapweedcroft
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -54,6 +54,7 @@
     gateway_actions actions;
     std::visit([this, &actions](auto& typed) { on(typed, actions); }, event);
     deliverLocally(actions);
+    settleLeaves(actions);
     updateLinkPlan(actions);
     updateStoreReadMode(actions);
     shareMeasurements(actions);
@@ -112,7 +113,7 @@
 void gateway_core::receive(const node_name& peer, forward_answer& message, gateway_actions& actions)
 {
     if (!message.leavingUpstream.empty())
-        m_directory.markLeaving(peer, message.leavingUpstream);
+        m_directory.markLeaving(peer, m_directory.incarnationOf(peer, message.leavingUpstream));
     m_origin.handleAnswer(peer, std::move(message), m_now, actions);
 }
 
@@ -177,12 +178,49 @@
                 { "started_ms", std::to_string(announcement.incarnation.startedAt) },
                 { "sequence", std::to_string(announcement.sequence) },
                 { "reason", "older than the newest accepted announcement" } }));
+    if (announcement.state == upstream_state::draining)
+        awaitLeaveRecord(announcement.incarnation.id, effect == announcement_result::changed, actions);
 }
 
 void gateway_core::on(const leave_received& event, gateway_actions& actions)
 {
-    if (m_registry.leave(event.upstream, m_now))
+    const bool isChange = m_registry.leave(event.upstream, m_now);
+    if (isChange)
         publishUpstreamChange("upstream_left", actions);
+    awaitLeaveRecord(event.upstream, isChange, actions);
+}
+
+void gateway_core::on(const record_stored&, gateway_actions&) { m_leaves.recordStored(); }
+
+// Acknowledges a leave once the store or the peers know of it, so that the next process of this node does not offer the
+// upstream. They are told again unless this has just been done.
+void gateway_core::awaitLeaveRecord(const std::string& upstream, bool isPublished, gateway_actions& actions)
+{
+    const std::optional<upstream_announcement>& current = m_registry.current();
+    if (current && current->incarnation.id != upstream) {
+        // The record of this node names another upstream, so no process offers this one.
+        actions.emplace_back(settle_leave { { upstream, true } });
+        return;
+    }
+    if (m_leaves.await(upstream, m_now) || isPublished)
+        return;
+    broadcast(makeStatus(), actions);
+    // Without a current upstream, the record, if there is one, is that of an earlier process.
+    if (current)
+        actions.emplace_back(publish_record { makeRecord() });
+    else
+        actions.emplace_back(withdraw_record {});
+}
+
+void gateway_core::settleLeaves(gateway_actions& actions)
+{
+    for (const leave_verdict& verdict : m_leaves.takeVerdicts(m_now)) {
+        if (!verdict.isAcknowledged)
+            actions.emplace_back(internal::makeLogLine(log_level::warning, "leave_not_recorded",
+                { { "upstream", verdict.upstream },
+                    { "remedy", "let the upstream repeat it; neither the store nor a peer has confirmed it" } }));
+        actions.emplace_back(settle_leave { verdict });
+    }
 }
 
 // Propagates a change of this host's upstream: to the local directory, the request queue, linked peers and the store.
@@ -214,11 +252,15 @@
     upstream_status_message status;
     status.catalogueVersion = m_table->version();
     status.load = m_served.load(m_now);
-    if (!m_registry.current())
+    if (!m_registry.current()) {
+        status.upstream = m_leaves.unacknowledged().value_or("");
+        status.isLeaving = !status.upstream.empty();
         return status;
+    }
     status.upstream = m_registry.current()->incarnation.id;
     status.startedAt = m_registry.current()->incarnation.startedAt;
     status.isServing = m_registry.isServing() && !m_isStopping;
+    status.isLeaving = m_registry.isLeaving();
     status.remainingWarmUp = m_registry.remainingWarmUp(m_now);
     status.load.slots = m_registry.current()->slots;
     return status;
@@ -598,8 +640,14 @@
     std::visit([this, &event, &actions](auto& typed) { receive(event.peer, typed, actions); }, event.message);
 }
 
-void gateway_core::receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions)
+void gateway_core::receive(const node_name& peer, upstream_status_message& message, gateway_actions& actions)
 {
+    // A node that has just started may know that its upstream leaves, but not since when it runs.
+    if (message.isLeaving && message.startedAt == 0)
+        message.startedAt = m_directory.incarnationOf(peer, message.upstream).startedAt;
+    const upstream_incarnation upstream { message.upstream, message.startedAt };
+    if (message.isLeaving)
+        m_directory.markLeaving(peer, upstream);
     if (m_directory.updateStatus(peer, message, m_now)) {
         m_origin.handleUpstreamReplaced(peer);
         actions.emplace_back(internal::makeLogLine(log_level::info, "peer_upstream_changed",
@@ -607,6 +655,11 @@
                 { "serving", message.isServing ? "true" : "false" } }));
         m_isLinkPlanOutdated = true;
     }
+    // Confirms the leave, or tells a process that has started since then.
+    if (m_directory.isLeaving(upstream)) {
+        if (const std::optional<reported_notices_message> notices = m_directory.noticesFor(peer))
+            actions.emplace_back(send_to_peer { peer, *notices });
+    }
     if (m_table->version() < message.catalogueVersion)
         m_catchUp.recordPeerVersions(peer, { message.catalogueVersion, -1 }, m_now);
 }
@@ -715,7 +768,10 @@
         { { "peer", peer }, { "upstream", message.upstream }, { "leaving", message.isLeaving ? "true" : "false" },
             { "rate_per_s", message.rate ? std::to_string(*message.rate) : "none" } }));
     m_served.handleReportedRate(message, m_now, actions);
-    if (message.isLeaving && m_registry.leave(message.upstream, m_now))
+    if (!message.isLeaving)
+        return;
+    m_leaves.recordPeer(message.upstream);
+    if (m_registry.leave(message.upstream, m_now, message.startedAt))
         publishUpstreamChange("upstream_left", actions);
 }
 
@@ -839,6 +895,8 @@
         next = std::min(next, item.second);
     if (const std::optional<time_point> catchUp = m_catchUp.nextWakeup())
         next = std::min(next, *catchUp);
+    if (const std::optional<time_point> leave = m_leaves.nextWakeup())
+        next = std::min(next, *leave);
     const std::optional<time_point> takeover = m_readElection.takeoverTime();
     if (takeover && m_now < *takeover)
         next = std::min(next, *takeover);
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -5,6 +5,7 @@
 #include "knapweedcroft/gateway/actions.hpp"
 #include "knapweedcroft/gateway/catch_up_requester.hpp"
 #include "knapweedcroft/gateway/events.hpp"
+#include "knapweedcroft/gateway/leave_acknowledgements.hpp"
 #include "knapweedcroft/gateway/node_directory.hpp"
 #include "knapweedcroft/gateway/origin_requests.hpp"
 #include "knapweedcroft/gateway/request_quarantine.hpp"
@@ -75,6 +76,7 @@
     void on(const upstream_checked& event, gateway_actions& actions);
     void on(const announcement_received& event, gateway_actions& actions);
     void on(const leave_received& event, gateway_actions& actions);
+    void on(const record_stored& event, gateway_actions& actions);
     void on(const catalogue_read& event, gateway_actions& actions);
     void on(const directory_read& event, gateway_actions& actions);
     void on(const catalogue_confirmed& event, gateway_actions& actions);
@@ -91,7 +93,7 @@
     void receive(const node_name& peer, forward_request& message, gateway_actions& actions);
     void receive(const node_name& peer, forward_answer& message, gateway_actions& actions);
     void receive(const node_name& peer, const cancel_message& message, gateway_actions& actions);
-    void receive(const node_name& peer, const upstream_status_message& message, gateway_actions& actions);
+    void receive(const node_name& peer, upstream_status_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const catch_up_request_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const catch_up_message& message, gateway_actions& actions);
     void receive(const node_name& peer, const store_progress_message& message, gateway_actions& actions);
@@ -106,6 +108,8 @@
     void applyRecord(const directory_record& record, gateway_actions& actions);
     void restoreUpstream(const directory_record& record, gateway_actions& actions);
     void publishUpstreamChange(std::string_view logEvent, gateway_actions& actions);
+    void awaitLeaveRecord(const std::string& upstream, bool isPublished, gateway_actions& actions);
+    void settleLeaves(gateway_actions& actions);
     void scheduleConnect(const node_name& node, milliseconds delay);
     void openDueLinks(gateway_actions& actions);
     void updateLinkPlan(gateway_actions& actions);
@@ -142,6 +146,7 @@
     time_point m_now;
     time_point m_wallNow;
     upstream_registry m_registry;
+    leave_acknowledgements m_leaves;
     node_directory m_directory;
     std::shared_ptr<const entry_table> m_table;
     request_quarantine m_quarantine;
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -261,6 +261,8 @@
 
 void gateway_runtime::perform(withdraw_record&) { m_boundary.withdraw(); }
 
+void gateway_runtime::perform(settle_leave& action) { m_boundary.answerLeave(action.verdict); }
+
 void gateway_runtime::perform(set_store_read_mode& action) { m_boundary.setStoreReadMode(action.mode); }
 
 void gateway_runtime::perform(reread_store& action) { m_boundary.rereadStore(action.era); }
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -36,6 +36,8 @@
     std::function<void(const directory_record&)> publish;
     /** @brief Removes the record of this node from the directory. */
     std::function<void()> withdraw;
+    /** @brief Answers the upstream that has announced its leave, as often as it waits for an answer. */
+    std::function<void(const leave_verdict&)> answerLeave;
     /** @brief Sets how this node reads the store. */
     std::function<void(store_read_mode)> setStoreReadMode;
     /** @brief Reads catalogue and directory anew, because the store came back from an older copy with a new era. */
@@ -95,6 +97,7 @@
     void perform(check_upstream& action);
     void perform(publish_record& action);
     void perform(withdraw_record& action);
+    void perform(settle_leave& action);
     void perform(set_store_read_mode& action);
     void perform(reread_store& action);
     void perform(apply_limits& action);
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -23,6 +23,12 @@
         { "serving", upstream.state == upstream_state::serving } };
 }
 
+// An upstream may start again under its identifier.
+[[nodiscard]] static std::string keyOf(const upstream_incarnation& upstream)
+{
+    return upstream.id + "@" + std::to_string(upstream.startedAt);
+}
+
 [[nodiscard]] static result<directory_record> fromJson(const nlohmann::json& object)
 {
     json_reader reader { object, "directory record" };
@@ -80,7 +86,7 @@
         known.record.writtenAt = record.writtenAt;
         return std::exchange(known.record.peerAddress, record.peerAddress) != record.peerAddress;
     }
-    const bool isServing = record.upstream.state == upstream_state::serving && !m_leavingUpstreams.contains(after.id);
+    const bool isServing = record.upstream.state == upstream_state::serving && !isLeaving(after);
     const bool isChanged
         = before != after || known.record.peerAddress != record.peerAddress || known.isServing != isServing;
     known.record = record;
@@ -148,10 +154,10 @@
         return false;
     known_node& known = position->second;
     upstream_incarnation& incarnation = known.record.upstream.incarnation;
-    const bool isOtherIncarnation = incarnation != upstream_incarnation { status.upstream, status.startedAt };
-    const bool isServing = status.isServing && !m_leavingUpstreams.contains(status.upstream);
-    const bool isChanged = isOtherIncarnation || known.isServing != isServing;
-    incarnation = upstream_incarnation { status.upstream, status.startedAt };
+    const upstream_incarnation reported { status.upstream, status.startedAt };
+    const bool isServing = status.isServing && !isLeaving(reported);
+    const bool isChanged = incarnation != reported || known.isServing != isServing;
+    incarnation = reported;
     known.record.upstream.slots = status.load.slots;
     known.record.upstream.state = isServing ? upstream_state::serving : upstream_state::draining;
     known.isServing = isServing;
@@ -180,8 +186,10 @@
     if (known == nullptr)
         return std::nullopt;
     reported_notices_message message;
-    message.upstream = known->record.upstream.incarnation.id;
-    message.isLeaving = m_leavingUpstreams.contains(message.upstream);
+    const upstream_incarnation& upstream = known->record.upstream.incarnation;
+    message.upstream = upstream.id;
+    message.startedAt = upstream.startedAt;
+    message.isLeaving = isLeaving(upstream);
     if (known->namedRate && known->namedRate->upstream == message.upstream)
         message.rate = known->namedRate->rate;
     return message.isLeaving || message.rate ? std::optional { message } : std::nullopt;
@@ -194,14 +202,26 @@
         position->second.isServing = false;
 }
 
-void node_directory::markLeaving(const node_name& node, const std::string& upstream)
+upstream_incarnation node_directory::incarnationOf(const node_name& node, const std::string& upstream) const
+{
+    const known_node* known = find(node);
+    const bool isKnown = known != nullptr && known->record.upstream.incarnation.id == upstream;
+    return isKnown ? known->record.upstream.incarnation : upstream_incarnation { upstream, 0 };
+}
+
+bool node_directory::isLeaving(const upstream_incarnation& upstream) const
+{
+    return m_leavingUpstreams.contains(internal::keyOf(upstream));
+}
+
+void node_directory::markLeaving(const node_name& node, const upstream_incarnation& upstream)
 {
     const auto position = m_nodes.find(node);
-    if (position != m_nodes.end() && position->second.record.upstream.incarnation.id == upstream) {
+    if (position != m_nodes.end() && position->second.record.upstream.incarnation == upstream) {
         position->second.isServing = false;
         position->second.record.upstream.state = upstream_state::draining;
     }
-    m_leavingUpstreams.insert(upstream);
+    m_leavingUpstreams.insert(internal::keyOf(upstream));
 }
 
 const known_node* node_directory::find(const node_name& node) const
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -110,9 +110,15 @@
      *
      * The node beside the upstream may forget this when it starts again, and would offer the upstream to others.
      * @param node Node of the upstream.
-     * @param upstream Identifier of the upstream; no later record or status makes it serve again.
+     * @param upstream The upstream; no later record or status makes this incarnation serve again.
      */
-    void markLeaving(const node_name& node, const std::string& upstream);
+    void markLeaving(const node_name& node, const upstream_incarnation& upstream);
+
+    /** @brief Returns the latest known incarnation of a node's upstream with an identifier; starts at 0 if unknown. */
+    [[nodiscard]] upstream_incarnation incarnationOf(const node_name& node, const std::string& upstream) const;
+
+    /** @brief Returns true if an upstream has said that it leaves. */
+    [[nodiscard]] bool isLeaving(const upstream_incarnation& upstream) const;
 
     /** @brief Returns the entry of a node, or null if the node is unknown. */
     [[nodiscard]] const known_node* find(const node_name& node) const;
@@ -138,7 +144,7 @@
     [[nodiscard]] bool isAddressInUse(const directory_record& record) const;
 
     std::map<node_name, known_node> m_nodes;
-    recent_ids m_leavingUpstreams { maxLeavingUpstreams }; /*!< Each incarnation has a new identifier. */
+    recent_ids m_leavingUpstreams { maxLeavingUpstreams }; /*!< Identifiers with their start times. */
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/upstream_registry.cpp
+++ b/src/knapweedcroft/gateway/upstream_registry.cpp
@@ -37,10 +37,16 @@
         m_state.fire(upstream_chart_event::warmed_up);
 }
 
+bool upstream_registry::hasDeparted(const upstream_incarnation& upstream) const
+{
+    const auto position = m_departedUnknown.find(upstream.id);
+    return position != m_departedUnknown.end() && upstream.startedAt <= position->second;
+}
+
 // Announcements may arrive seconds late, even after the sender has ended and another upstream has replaced it.
 bool upstream_registry::isStale(const upstream_announcement& announcement)
 {
-    if (m_departedUnknown.count(announcement.incarnation.id) != 0)
+    if (hasDeparted(announcement.incarnation))
         return true;
     if (!m_current)
         return false;
@@ -91,11 +97,13 @@
     return isChanged ? announcement_result::changed : announcement_result::unchanged;
 }
 
-bool upstream_registry::leave(const std::string& id, time_point now)
+bool upstream_registry::leave(const std::string& id, time_point now, std::optional<std::int64_t> startedAt)
 {
-    if (!m_current || m_current->incarnation.id != id) {
+    const bool isCurrent = m_current && m_current->incarnation.id == id
+        && startedAt.value_or(INT64_MAX) >= m_current->incarnation.startedAt;
+    if (!isCurrent) {
         if (m_departedUnknown.size() < internal::maxFormerUpstreams)
-            m_departedUnknown.insert(id);
+            m_departedUnknown[id] = startedAt.value_or(INT64_MAX);
         return false;
     }
     if (m_hasLeft)
@@ -109,7 +117,7 @@
 
 bool upstream_registry::restore(const upstream_announcement& announcement, time_point now)
 {
-    if (m_current || m_departedUnknown.count(announcement.incarnation.id) != 0)
+    if (m_current || hasDeparted(announcement.incarnation))
         return false;
     m_current = announcement;
     m_current->sequence = -1;
--- a/src/knapweedcroft/gateway/upstream_registry.hpp
+++ b/src/knapweedcroft/gateway/upstream_registry.hpp
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace knapweedcroft {
@@ -67,9 +66,12 @@
      *
      * The leave of an upstream that is not known yet is remembered, so that a late announcement or the record of an
      * earlier process does not make it serve.
-     * @return True if the identifier is that of the current upstream and it was serving.
+     * @param id Identifier of the upstream.
+     * @param now Current time.
+     * @param startedAt Unix time in ms at which the upstream started; nothing if unknown, for any of its starts so far.
+     * @return True if this is the current upstream and it was serving.
      */
-    bool leave(const std::string& id, time_point now);
+    bool leave(const std::string& id, time_point now, std::optional<std::int64_t> startedAt = std::nullopt);
 
     /**
      * @brief Restores the upstream that an earlier process of this node published, until the next announcement.
@@ -97,10 +99,14 @@
     /** @brief Returns true if the upstream accepts new requests, also while it warms up. */
     [[nodiscard]] bool isServing() const noexcept;
 
+    /** @brief Returns true if the current upstream has announced that it leaves. */
+    [[nodiscard]] bool isLeaving() const noexcept { return m_state.state() == upstream_chart_state::draining; }
+
     /** @brief Returns the remaining warm-up time of the upstream; never negative. */
     [[nodiscard]] milliseconds remainingWarmUp(time_point now) const;
 
 private:
+    [[nodiscard]] bool hasDeparted(const upstream_incarnation& upstream) const;
     void applyAnnouncedState(const upstream_announcement& announcement);
     [[nodiscard]] bool isStale(const upstream_announcement& announcement);
     void replaceCurrent(const upstream_announcement& announcement);
@@ -110,7 +116,8 @@
     std::optional<upstream_announcement> m_current;
     time_point m_announcedAt;
     std::map<std::string, std::int64_t> m_previousSequences; /*!< Last ones of replaced upstreams, by identifier. */
-    std::set<std::string> m_departedUnknown; /*!< Identifiers of upstreams that left without being the current one. */
+    /** @brief Latest start of upstreams that left without being the current one, by identifier. */
+    std::map<std::string, std::int64_t> m_departedUnknown;
     std::optional<std::int64_t> m_restartCandidateSequence; /*!< Latest number not above the newest one. */
     bool m_hasLeft = false; /*!< The current incarnation left; its later announcements are stale. */
 };
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -185,14 +185,16 @@
     wire_json operator()(const upstream_status_message& value) const
     {
         return { { "k", kind_namer {}(value) }, { "upstream", value.upstream }, { "started_ms", value.startedAt },
-            { "serving", value.isServing }, { "warm_up_us", value.remainingWarmUp.microseconds() },
-            { "load", toJson(value.load) }, { "catalogue", value.catalogueVersion } };
+            { "serving", value.isServing }, { "leaving", value.isLeaving },
+            { "warm_up_us", value.remainingWarmUp.microseconds() }, { "load", toJson(value.load) },
+            { "catalogue", value.catalogueVersion } };
     }
 
     wire_json operator()(const reported_notices_message& value) const
     {
         map_builder header;
         header.add("k", kind_namer {}(value)).add("upstream", value.upstream).add("leaving", value.isLeaving);
+        header.add("started_ms", value.startedAt);
         if (value.rate)
             header.add("rate", toRateUnits(*value.rate));
         return header.take();
@@ -610,6 +612,7 @@
     message.upstream = reader.text("upstream", maxTextBytes);
     message.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
     message.isServing = reader.boolean("serving");
+    message.isLeaving = reader.boolean("leaving");
     message.remainingWarmUp = readDuration(reader, "warm_up_us");
     message.load = readLoad(reader, "load");
     message.catalogueVersion = reader.integer("catalogue", -1, INT64_MAX / 2);
@@ -648,6 +651,7 @@
     reported_notices_message message;
     message.upstream = reader.text("upstream", maxTextBytes);
     message.isLeaving = reader.boolean("leaving");
+    message.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
     if (reader.has("rate"))
         message.rate = static_cast<double>(reader.unsignedInteger("rate", UINT32_MAX)) / rateUnitsPerRequest;
     return message;
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -229,6 +229,7 @@
     milliseconds remainingWarmUp; /*!< Remaining warm-up time, during which the upstream is slower than usual. */
     upstream_load load;
     std::int64_t catalogueVersion = -1; /*!< Version of the catalogue in force at the sender. */
+    bool isLeaving = false; /*!< The upstream has announced that it leaves; the receiver confirms that it knows this. */
 };
 
 /** @brief Time for which a request of an entry occupies an upstream. */
@@ -265,14 +266,17 @@
 };
 
 /**
- * @brief Reports to a node what its upstream has said in answers that the sender received; sent on a new link.
+ * @brief Reports to a node what the sender knows about its upstream: what the upstream has said in answers, and that it
+ * has announced to leave.
  *
- * A node that has started again does not know it before the next answer of its upstream.
+ * Sent on a new link, because a node that has started again does not know it, and to confirm a status that says the
+ * upstream leaves.
  */
 struct reported_notices_message {
     std::string upstream; /*!< Identifier of the upstream. */
     std::optional<double> rate; /*!< Requests per second; nothing if it named no limit. */
     bool isLeaving = false;
+    std::int64_t startedAt = 0; /*!< Unix time in ms at which the upstream started; zero if unknown. */
 };
 
 /** @brief Reports that the sender's upstream crashed. */
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -452,12 +452,12 @@
     EXPECT_EQ(std::get<reported_notices_message>(message).rate, 2.0);
 
     m_group.add("d", "visits", "z1", 4);
-    m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false } });
+    m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false, 1 } });
     m_group.run(milliseconds { 1 });
     EXPECT_EQ(rateOf(m_group.core("d")), 3.0);
     m_group.run(milliseconds { 400 });
     exchangeAt("d", responseWithRate(std::nullopt));
-    m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false } });
+    m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false, 1 } });
     EXPECT_EQ(rateOf(m_group.core("d")), 0.0) << "the upstream has answered this process";
 }
 
@@ -487,6 +487,100 @@
     EXPECT_EQ(m_group.exchanges("a").size(), 4U);
 }
 
+// --- acknowledgement of a leave
+
+class leave_test : public testing::Test {
+protected:
+    leave_test()
+    {
+        m_group.add("a", "visits", "z1", 4);
+        m_group.add("b", "visits", "z1", 4);
+        m_group.add("c", "planning", "z1", 4);
+        m_group.startOnStore();
+        m_group.run(milliseconds { 3000 });
+    }
+
+    // Returns the number of requests that reach the upstream of node a.
+    [[nodiscard]] std::size_t sendFromAllNodes()
+    {
+        const std::size_t before = m_group.exchanges("a").size();
+        for (int count = 0; count < 20; ++count) {
+            for (const char* node : { "a", "b", "c" })
+                m_group.send(node, "read");
+            m_group.run(milliseconds { 20 });
+        }
+        return m_group.exchanges("a").size() - before;
+    }
+
+    gateway_group m_group { makeReadAndBookTable() };
+};
+
+// Guards against a node that forgets an acknowledged leave when it starts again while the store still has its old
+// record, and offers the upstream once more (DRAIN).
+TEST_F(leave_test, OutlivesTheProcessThatAcknowledgedIt)
+{
+    ASSERT_GT(sendFromAllNodes(), 0U);
+    m_group.setStoreAvailable(false);
+    m_group.leave("a");
+    m_group.run(milliseconds { 400 });
+    ASSERT_EQ(m_group.leaveVerdicts("a"), (std::vector<leave_verdict> { { "upstream of a", true } }));
+    m_group.restart("a");
+    m_group.run(milliseconds { 1000 });
+    m_group.setStoreAvailable(true);
+    m_group.run(milliseconds { 3000 });
+    EXPECT_EQ(sendFromAllNodes(), 0U);
+    EXPECT_FALSE(m_group.core("a").describe()["upstream"]["serving"].get<bool>());
+}
+
+// Guards against a node that has just started, acknowledges a leave of an upstream that it does not know, and forgets
+// it when it starts once more.
+TEST_F(leave_test, OutlivesAProcessThatDidNotKnowTheUpstream)
+{
+    m_group.setStoreAvailable(false);
+    m_group.restart("a");
+    m_group.leave("a");
+    m_group.run(milliseconds { 1000 });
+    ASSERT_EQ(m_group.leaveVerdicts("a"), (std::vector<leave_verdict> { { "upstream of a", true } }));
+    m_group.restart("a");
+    m_group.run(milliseconds { 500 });
+    m_group.setStoreAvailable(true);
+    m_group.run(milliseconds { 3000 });
+    EXPECT_EQ(sendFromAllNodes(), 0U);
+}
+
+// Guards against all nodes that are killed right after the acknowledgement: only the store remembers the leave.
+TEST_F(leave_test, IsAcknowledgedAfterTheStoreHasIt)
+{
+    m_group.leave("a");
+    m_group.run(milliseconds { 5 });
+    ASSERT_EQ(m_group.leaveVerdicts("a"), (std::vector<leave_verdict> { { "upstream of a", true } }));
+    for (const char* node : { "a", "b", "c" })
+        m_group.restart(node);
+    m_group.run(milliseconds { 3000 });
+    EXPECT_EQ(sendFromAllNodes(), 0U);
+}
+
+// Guards against an acknowledgement of what nobody but the process itself knows.
+TEST_F(leave_test, IsNotAcknowledgedWithoutStoreAndPeers)
+{
+    m_group.setStoreAvailable(false);
+    for (const char* peer : { "b", "c" })
+        m_group.handle("a", link_closed { peer, {} });
+    m_group.leave("a");
+    EXPECT_TRUE(m_group.leaveVerdicts("a").empty());
+    for (int step = 0; step < 95; ++step) {
+        for (const char* peer : { "b", "c" })
+            m_group.handle("a", link_closed { peer, {} });
+        m_group.run(milliseconds { 10 });
+    }
+    ASSERT_EQ(m_group.leaveVerdicts("a"), (std::vector<leave_verdict> { { "upstream of a", false } }));
+    m_group.setStoreAvailable(true);
+    m_group.run(milliseconds { 2000 });
+    m_group.leave("a");
+    m_group.run(milliseconds { 10 });
+    EXPECT_EQ(m_group.leaveVerdicts("a").back(), (leave_verdict { "upstream of a", true }));
+}
+
 // --- requests that crash upstreams
 
 class crash_test : public gateway_core_test {
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -58,6 +58,8 @@
 void gateway_group::announce(const std::string& name)
 {
     const simulated_node& node = *m_nodes.at(name);
+    if (node.hasLeft)
+        return;
     const gateway_settings& settings = node.settings;
     upstream_announcement announcement;
     announcement.incarnation = { "upstream of " + name, 1 };
@@ -68,6 +70,12 @@
     handle(name, announcement_received { announcement });
 }
 
+void gateway_group::leave(const std::string& name)
+{
+    m_nodes.at(name)->hasLeft = true;
+    handle(name, leave_received { "upstream of " + name });
+}
+
 // --- store and links
 
 void gateway_group::startOnStore()
@@ -81,6 +89,7 @@
 {
     simulated_node& node = *m_nodes.at(name);
     node.isPolling = false;
+    node.isRecordUnwritten = false;
     node.readMode = store_read_mode::individual;
     node.incarnation += m_nodes.size();
     createCore(node);
@@ -121,6 +130,7 @@
         node.nextPoll = m_now + milliseconds { 500 };
         return;
     }
+    writeRecord(name);
     directory_read directory;
     directory.isComplete = !std::exchange(node.isPolling, true);
     directory.offset = static_cast<std::int64_t>(m_directory.size());
@@ -140,14 +150,34 @@
 
 void gateway_group::performOnStore(const std::string& name, gateway_action& action)
 {
-    if (const publish_record* published = std::get_if<publish_record>(&action))
-        m_directory[name] = published->record;
-    else if (const set_store_read_mode* changed = std::get_if<set_store_read_mode>(&action))
+    simulated_node& node = *m_nodes.at(name);
+    if (const publish_record* published = std::get_if<publish_record>(&action)) {
+        node.record = published->record;
+        node.isRecordUnwritten = true;
+    } else if (std::holds_alternative<withdraw_record>(action)) {
+        node.record.reset();
+        node.isRecordUnwritten = true;
+    }
+    if (node.isRecordUnwritten && m_isStoreAvailable)
+        at(m_now, [this, name] { writeRecord(name); });
+    if (const set_store_read_mode* changed = std::get_if<set_store_read_mode>(&action))
         m_nodes.at(name)->readMode = changed->mode;
     else if (const open_link* opened = std::get_if<open_link>(&action))
         at(m_now + milliseconds { 1 }, [this, name, peer = opened->peer] { openLink(name, peer); });
 }
 
+void gateway_group::writeRecord(const std::string& name)
+{
+    simulated_node& node = *m_nodes.at(name);
+    if (!m_isStoreAvailable || !std::exchange(node.isRecordUnwritten, false))
+        return;
+    if (node.record)
+        m_directory[name] = *node.record;
+    else
+        m_directory.erase(name);
+    handle(name, record_stored {});
+}
+
 void gateway_group::start()
 {
     run(milliseconds { 1 });
@@ -190,6 +220,8 @@
             at(m_now, [this, name, peer, message = std::move(sent->message)] {
                 handle(peer, message_received { name, message });
             });
+        } else if (const settle_leave* settled = std::get_if<settle_leave>(&action)) {
+            self.leaveVerdicts.push_back(settled->verdict);
         } else if (const answer_client* answer = std::get_if<answer_client>(&action)) {
             self.answers.push_back(*answer);
             onAnswer(name, *answer);
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -71,7 +71,10 @@
      */
     void startOnStore();
 
-    /** @brief Sets whether the store answers; nodes notice at their next poll. */
+    /** @brief Lets the upstream of a gateway announce that it leaves, and nothing after that. */
+    void leave(const std::string& name);
+
+    /** @brief Sets whether the store answers; nodes notice at their next poll, and write then what they could not. */
     void setStoreAvailable(bool isAvailable) { m_isStoreAvailable = isAvailable; }
 
     /** @brief Replaces the catalogue in the store; pending polls complete at once. */
@@ -110,6 +113,12 @@
         return m_nodes.at(node)->exchanges;
     }
 
+    /** @brief Returns the answers that the upstream of a gateway got when it announced its leave. */
+    [[nodiscard]] const std::vector<leave_verdict>& leaveVerdicts(const std::string& node) const
+    {
+        return m_nodes.at(node)->leaveVerdicts;
+    }
+
     [[nodiscard]] store_read_mode readMode(const std::string& node) const { return m_nodes.at(node)->readMode; }
 
     traffic_counts traffic; /*!< Since the start of the group; counted only on a store. */
@@ -127,6 +136,10 @@
         store_read_mode readMode = store_read_mode::individual;
         time_point nextPoll;
         bool isPolling = false; /*!< The snapshots of the store have been read. */
+        bool hasLeft = false; /*!< Its upstream announces nothing any more. */
+        bool isRecordUnwritten = false; /*!< The store has not taken `record`. */
+        std::optional<directory_record> record; /*!< Latest own record; nothing if it is withdrawn. */
+        std::vector<leave_verdict> leaveVerdicts;
         std::vector<answer_client> answers;
         std::vector<start_exchange> exchanges;
         std::set<std::uint64_t> running;
@@ -141,6 +154,7 @@
     void createCore(simulated_node& node);
     void announce(const std::string& name);
     void performOnStore(const std::string& name, gateway_action& action);
+    void writeRecord(const std::string& name);
     void openLink(const std::string& name, const std::string& peer);
     void pollStore(const std::string& name);
     void pollStoreIfDue(const std::string& name);
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -130,7 +130,7 @@
     node_directory directory;
     directory.onLinkOpened(hello("n"));
     EXPECT_TRUE(directory.updateStatus("n", status(200, true), time_point {}));
-    directory.markLeaving("n", "u200");
+    directory.markLeaving("n", { "u200", 200 });
     EXPECT_FALSE(directory.find("n")->isServing);
     directory.onLinkClosed("n");
     EXPECT_FALSE(directory.apply(record("n", 200, 40)));
@@ -143,13 +143,26 @@
     EXPECT_TRUE(directory.find("n")->isServing);
 }
 
+// Guards against an upstream that starts again under its identifier and stays shut out by its earlier leave.
+TEST(NodeDirectory, ServesANewStartOfALeavingUpstream)
+{
+    node_directory directory;
+    directory.onLinkOpened(hello("n"));
+    directory.markLeaving("n", { "u", 200 });
+    upstream_status_message restarted = status(300, true);
+    restarted.upstream = "u";
+    directory.updateStatus("n", restarted, time_point {});
+    EXPECT_TRUE(directory.find("n")->isServing);
+    EXPECT_FALSE(directory.noticesFor("n").has_value());
+}
+
 // Guards against memory that grows with each upstream that has ever left.
 TEST(NodeDirectory, ForgetsTheEarliestOfManyLeavingUpstreams)
 {
     node_directory directory;
     directory.onLinkOpened(hello("n"));
     for (int number = 1; number <= 1025; ++number)
-        directory.markLeaving("n", "u" + std::to_string(number));
+        directory.markLeaving("n", { "u" + std::to_string(number), number });
     directory.updateStatus("n", status(1, true), time_point {});
     EXPECT_TRUE(directory.find("n")->isServing);
     directory.updateStatus("n", status(2, true), time_point {});
--- a/test/knapweedcroft/gateway/upstream_registry.cpp
+++ b/test/knapweedcroft/gateway/upstream_registry.cpp
@@ -124,4 +124,14 @@
     EXPECT_TRUE(m_registry.isServing());
 }
 
+// Guards against the report of a peer about an earlier start that ends the present one under the same identifier.
+TEST_F(upstream_registry_test, IgnoresTheLeaveOfAnEarlierStart)
+{
+    m_registry.announce(announcement("a", 200, 1), at(1));
+    EXPECT_FALSE(m_registry.leave("a", at(2), 100));
+    EXPECT_TRUE(m_registry.isServing());
+    EXPECT_EQ(m_registry.announce(announcement("a", 200, 2), at(3)), announcement_result::unchanged);
+    EXPECT_TRUE(m_registry.leave("a", at(4), 200));
+}
+
 } // namespace knapweedcroft
--- a/test/platform/soak/fake_upstream.cpp
+++ b/test/platform/soak/fake_upstream.cpp
@@ -36,6 +36,7 @@
     , m_calls { loop, exchange_client_settings {} }
     , m_control { loop, http_client_settings {} }
     , m_announcements { loop, [this] { announce(); } }
+    , m_leaveCalls { loop, [this] { leave(); } }
     , m_restart { loop, [this] { start(); } }
     , m_onFull { onFull }
 {
@@ -70,9 +71,31 @@
     announce();
 }
 
+void fake_upstream::leave()
+{
+    if (!m_server)
+        return;
+    m_announcements.stop();
+    m_leaveCalls.start(internal::announcementInterval);
+    http_client_request request;
+    request.address = m_location.control;
+    request.method = http_method::remove;
+    request.target = "/knapweedcroft/instances/" + m_id;
+    request.timeout = milliseconds { 1000 };
+    m_control.send(request, [this, id = m_id](const http_outcome& outcome) {
+        const http_response* response = std::get_if<http_response>(&outcome);
+        if (response == nullptr || response->status != internal::okStatus)
+            return;
+        m_ledger.notices().recordLeaveAcknowledged(id, m_location.node, m_clock.now());
+        if (id == m_id)
+            m_leaveCalls.stop();
+    });
+}
+
 void fake_upstream::crash()
 {
     m_announcements.stop();
+    m_leaveCalls.stop();
     for (const std::pair<const std::uint64_t, job>& item : m_jobs)
         cancelCall(item.second);
     m_jobs.clear();
--- a/test/platform/soak/fake_upstream.hpp
+++ b/test/platform/soak/fake_upstream.hpp
@@ -59,6 +59,9 @@
     /** @brief Stops at once; running requests are lost. */
     void crash();
 
+    /** @brief Announces that it leaves until this is acknowledged, and goes on serving. */
+    void leave();
+
     /** @brief Sets the factor applied to the service times. */
     void setServiceTimeFactor(int factor) { m_serviceTimeFactor = factor; }
 
@@ -106,6 +109,7 @@
     std::unique_ptr<pipelined_server> m_server;
     std::map<std::uint64_t, job> m_jobs;
     loop_timer m_announcements;
+    loop_timer m_leaveCalls;
     loop_timer m_restart;
     std::string m_id;
     std::uint64_t m_lastJob = 0;
--- a/test/platform/soak/fault_plan.cpp
+++ b/test/platform/soak/fault_plan.cpp
@@ -12,7 +12,7 @@
     std::string_view name;
 };
 
-static constexpr std::array<kind_name, 27> kindNames { { { fault_kind::node_kill, "node_kill" },
+static constexpr std::array<kind_name, 28> kindNames { { { fault_kind::node_kill, "node_kill" },
     { fault_kind::node_freeze, "node_freeze" }, { fault_kind::node_stop, "node_stop" },
     { fault_kind::kill_all, "kill_all" }, { fault_kind::links_silent, "links_silent" },
     { fault_kind::links_one_way, "links_one_way" }, { fault_kind::links_reset, "links_reset" },
@@ -26,7 +26,8 @@
     { fault_kind::data_centre_turned_away, "data_centre_turned_away" },
     { fault_kind::connections_silenced, "connections_silenced" }, { fault_kind::kill_some, "kill_some" },
     { fault_kind::node_reload, "node_reload" }, { fault_kind::upstream_limited, "upstream_limited" },
-    { fault_kind::upstream_leaving, "upstream_leaving" }, { fault_kind::poison_requests, "poison_requests" } } };
+    { fault_kind::upstream_leaving, "upstream_leaving" }, { fault_kind::upstream_left, "upstream_left" },
+    { fault_kind::poison_requests, "poison_requests" } } };
 
 // Kinds added later are drawn after the others, so that the faults of earlier seeds stay as they were.
 static constexpr std::size_t firstKinds = 17;
@@ -119,6 +120,21 @@
     if (isPoisoned)
         plan.faults.push_back({ fault_kind::poison_requests, drawHost(), milliseconds { draw(300, 1000) },
             milliseconds { draw(1000, 4500) } });
+    // A leave beside restarts of the node that acknowledges it, some of them while the store is away.
+    if (draw(0, 1) == 1) {
+        const std::size_t host = drawHost();
+        const std::int64_t start = draw(300, 1500);
+        const std::int64_t end = draw(4500, 5500);
+        plan.faults.push_back(
+            { fault_kind::upstream_left, host, milliseconds { start }, milliseconds { end - start } });
+        const std::int64_t restarts = draw(1, 2);
+        for (std::int64_t number = 0; number < restarts; ++number)
+            plan.faults.push_back({ draw(0, 1) == 1 ? fault_kind::node_kill : fault_kind::node_stop, host,
+                milliseconds { start + draw(0, 600) }, milliseconds { draw(100, 400) } });
+        if (draw(0, 1) == 1)
+            plan.faults.push_back({ fault_kind::store_away_refusing, 0, milliseconds { start - draw(0, 300) },
+                milliseconds { draw(500, 2500) } });
+    }
     internal::sortByStart(plan.faults);
     return plan;
 }
--- a/test/platform/soak/fault_plan.hpp
+++ b/test/platform/soak/fault_plan.hpp
@@ -41,6 +41,9 @@
     upstream_limited, /*!< The upstream names a limit on its rate of requests in its answers. */
     /** @brief The upstream says in its answers only that it leaves; a new incarnation starts when the fault ends. */
     upstream_leaving,
+    /** @brief The upstream announces that it leaves and goes on serving; a new incarnation starts when the fault ends.
+     */
+    upstream_left,
     poison_requests /*!< A request content that crashes upstreams is sent again and again. */
 };
 
--- a/test/platform/soak/notice_ledger.cpp
+++ b/test/platform/soak/notice_ledger.cpp
@@ -38,9 +38,42 @@
     return position == ofNode->second.end() ? std::nullopt : std::optional { position->second };
 }
 
+void notice_ledger::recordLeaveAcknowledged(const std::string& upstream, const std::string& node, time_point now)
+{
+    m_acknowledgedLeaves.emplace(upstream, acknowledged_leave { node, now });
+}
+
+void notice_ledger::setOutOfTouch(const std::string& node, bool isOutOfTouch, time_point now)
+{
+    const auto position = m_disturbedUntil.find(node);
+    if (isOutOfTouch)
+        m_disturbedUntil[node] = std::nullopt;
+    else if (position != m_disturbedUntil.end() && !position->second)
+        position->second = now;
+}
+
+bool notice_ledger::isInTouch(const std::string& node, time_point at) const
+{
+    const auto position = m_disturbedUntil.find(node);
+    if (position == m_disturbedUntil.end())
+        return true;
+    return position->second && *position->second + m_bounds.inTouch < at;
+}
+
+void notice_ledger::checkAcknowledgedLeave(const std::string& upstream, const std::string& node, time_point sentAt)
+{
+    const auto leave = m_acknowledgedLeaves.find(upstream);
+    if (leave == m_acknowledgedLeaves.end() || sentAt <= leave->second.at + m_bounds.acknowledgedDrain)
+        return;
+    if (isInTouch(node, sentAt) && isInTouch(leave->second.node, sentAt))
+        m_afterLeave.push_back(upstream + ": received a request that " + node + " got "
+            + std::to_string((sentAt - leave->second.at).whole()) + " ms after its leave was acknowledged");
+}
+
 void notice_ledger::recordArrival(
     const std::string& upstream, const std::string& node, time_point sentAt, time_point now)
 {
+    checkAcknowledgedLeave(upstream, node, sentAt);
     const std::optional<time_point> limitToldAt = find(m_limitToldAt, node, upstream);
     if (limitToldAt && *limitToldAt + m_bounds.passedOn <= now)
         m_arrivals[upstream].push_back(now);
--- a/test/platform/soak/notice_ledger.hpp
+++ b/test/platform/soak/notice_ledger.hpp
@@ -22,6 +22,12 @@
     double slack = 5.0; /*!< Further requests in a window. */
     /** @brief From the answer in which an upstream says that it leaves; the platform's rule allows 2 s. */
     milliseconds drain { 0 };
+    /** @brief From the acknowledgement of a leave to the last request that may be sent to the upstream, by the
+     * platform's rule. */
+    milliseconds acknowledgedDrain { 2000 };
+    /** @brief A node is bound by an acknowledgement from this long after a disturbance; the platform's rule allows 3 s.
+     */
+    milliseconds inTouch { 500 };
 };
 
 /**
@@ -50,6 +56,12 @@
     /** @brief Records that the process of a node was killed, frozen or stopped, or has started. */
     void recordDisturbance(const std::string& node);
 
+    /** @brief Records that a node has acknowledged that its upstream leaves; only the first time counts. */
+    void recordLeaveAcknowledged(const std::string& upstream, const std::string& node, time_point now);
+
+    /** @brief Records whether the process or the links of a node are disturbed from now on. */
+    void setOutOfTouch(const std::string& node, bool isOutOfTouch, time_point now);
+
     /** @brief Returns the greatest number of requests in a window in which a limit bound their nodes. */
     [[nodiscard]] std::size_t maxCounted() const;
 
@@ -69,6 +81,14 @@
         double allowed = 0.0;
     };
 
+    struct acknowledged_leave {
+        std::string node;
+        time_point at;
+    };
+
+    [[nodiscard]] bool isInTouch(const std::string& node, time_point at) const;
+    void checkAcknowledgedLeave(const std::string& upstream, const std::string& node, time_point sentAt);
+
     using arrival_times = std::vector<time_point>;
     using told_times = std::map<std::string, std::map<std::string, time_point>>; /*!< By node and upstream. */
 
@@ -83,6 +103,9 @@
     std::map<std::string, std::vector<limit_period>> m_limits; /*!< By upstream, in the order of time. */
     told_times m_limitToldAt;
     told_times m_leaveToldAt;
+    std::map<std::string, acknowledged_leave> m_acknowledgedLeaves; /*!< By upstream. */
+    /** @brief When the latest disturbance of a node ended; nothing while it lasts. */
+    std::map<std::string, std::optional<time_point>> m_disturbedUntil;
     std::vector<std::string> m_afterLeave; /*!< A message for each request that reached a leaving upstream. */
     std::map<std::string, arrival_times> m_arrivals; /*!< Of requests from nodes that had been told, by upstream. */
 };
--- a/test/platform/soak/notice_ledger_test.cpp
+++ b/test/platform/soak/notice_ledger_test.cpp
@@ -82,4 +82,27 @@
     EXPECT_EQ(m_ledger.violations().size(), 1U);
 }
 
+TEST_F(notice_ledger_test, FindsARequestAfterAnAcknowledgedLeave)
+{
+    m_ledger.recordLeaveAcknowledged("u", "n", at(1000));
+    m_ledger.recordArrival("u", "other", at(3000), at(3001));
+    EXPECT_EQ(m_ledger.violations().size(), 0U);
+    m_ledger.recordArrival("u", "other", at(3001), at(3001));
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+}
+
+TEST_F(notice_ledger_test, BindsOnlyNodesInTouchByAnAcknowledgedLeave)
+{
+    m_ledger.recordLeaveAcknowledged("u", "n", at(1000));
+    for (const char* disturbed : { "n", "other" }) {
+        m_ledger.setOutOfTouch(disturbed, true, at(1500));
+        m_ledger.recordArrival("u", "other", at(6000), at(6000));
+        m_ledger.setOutOfTouch(disturbed, false, at(6500));
+        m_ledger.recordArrival("u", "other", at(7000), at(7000));
+        EXPECT_EQ(m_ledger.violations().size(), 0U) << disturbed;
+    }
+    m_ledger.recordArrival("u", "other", at(7001), at(7001));
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+}
+
 } // namespace knapweedcroft::platform
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -311,6 +311,8 @@
             beginNodeFault(fault.kind, *host);
         if (fault.kind == fault_kind::upstream_crash)
             host->upstream->crash();
+        if (fault.kind == fault_kind::upstream_left)
+            host->upstream->leave();
         if (fault.kind == fault_kind::node_reload)
             reloadSettings(*host);
         if (fault.kind == fault_kind::connections_silenced) {
@@ -341,7 +343,7 @@
             continue;
         if (!isUnder(*host, &isNodeFault))
             endNodeFault(*host);
-        if (fault.kind == fault_kind::upstream_leaving)
+        if (fault.kind == fault_kind::upstream_leaving || fault.kind == fault_kind::upstream_left)
             host->upstream->crash();
         if (!isUnder(*host, [](fault_kind kind) { return kind == fault_kind::upstream_crash; }))
             host->upstream->start();
@@ -408,6 +410,9 @@
 {
     const bool isDisturbed = host.state != process_state::running || isUnder(host, &disturbsNode);
     m_configurationLedger.setDisturbed(host.node, isDisturbed, m_clock.now());
+    const bool areLinksDisturbed = host.links->mode() != relay_mode::forwarding;
+    m_ledger.notices().setOutOfTouch(
+        host.node, host.state != process_state::running || areLinksDisturbed, m_clock.now());
 }
 
 // --- load
--- a/test/platform/soak/upstream_notices.cpp
+++ b/test/platform/soak/upstream_notices.cpp
@@ -49,4 +49,15 @@
         { fault_kind::node_kill, 0, milliseconds { 2500 }, milliseconds { 200 } } }));
 }
 
+// Guards against a node that acknowledges a leave while the store is away and offers the upstream again when it starts
+// anew, from its old record (DRAIN).
+TEST(UpstreamNotices, OutliveTheNodeThatAcknowledgedALeave)
+{
+    fault_plan plan = makePlan({ { fault_kind::store_away_refusing, 0, milliseconds { 500 }, milliseconds { 2000 } },
+        { fault_kind::upstream_left, 0, milliseconds { 700 }, milliseconds { 9000 } },
+        { fault_kind::node_kill, 0, milliseconds { 1500 }, milliseconds { 500 } } });
+    plan.loadDuration = milliseconds { 10'000 };
+    expectNoViolation(plan);
+}
+
 } // namespace knapweedcroft::platform
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -215,17 +215,21 @@
 // An append without a response is retried until acknowledged; a newer value replaces one that is still pending.
 TEST_F(store_client_test, WritesUntilTheStoreTakesIt)
 {
-    record_writer writer { m_loop, m_store.address(), m_era, "keyed.t", "key", 1 };
+    int storedCount = 0;
+    record_writer writer { m_loop, m_store.address(), m_era, "keyed.t", "key", 1, [&storedCount] { ++storedCount; } };
     m_store.appendsWithoutResponse = 1;
     writer.write("one");
     ASSERT_TRUE(waitFor([this] { return m_store.appendedBodies.size() == 2; }));
     EXPECT_EQ(m_store.appendedBodies[1], encodeRecord({ "key", "one" }));
+    ASSERT_TRUE(waitFor([&storedCount] { return storedCount == 1; }));
     m_store.failureStatus = 429;
     writer.write("two");
     writer.write("three");
     ASSERT_TRUE(waitFor([this] { return m_store.appendCalls >= 5; }));
+    EXPECT_EQ(storedCount, 1) << "the store has refused the latest value";
     m_store.failureStatus.reset();
     ASSERT_TRUE(waitFor([this] { return m_store.appendedBodies.back() == encodeRecord({ "key", "three" }); }));
+    EXPECT_TRUE(waitFor([&storedCount] { return storedCount == 2; }));
 }
 
 } // namespace knapweedcroft::platform
