Leave out malformed directory records one by one

Ports above 65535 were taken.

Cause: the check of one record decided on the whole batch, page or copy.

Change: malformed records are left out, and offsets count them.

--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -1,6 +1,7 @@
 #include "knapweedcroft/gateway/node_directory.hpp"
 
 #include "knapweedcroft/core/json_reader.hpp"
+#include "knapweedcroft/net/http_types.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -12,7 +13,7 @@
 
 namespace internal {
 
-static constexpr std::int64_t maxSlots = 1'000'000;
+static constexpr std::size_t maxTextBytes = 1024; // Names and addresses are shorter; copies hold them for all nodes.
 
 [[nodiscard]] static nlohmann::json toJson(const directory_record& record)
 {
@@ -29,19 +30,31 @@
     return upstream.id + "@" + std::to_string(upstream.startedAt);
 }
 
+[[nodiscard]] static std::string readText(json_reader& reader, std::string_view field)
+{
+    std::string text = reader.string(field);
+    if (text.size() > maxTextBytes)
+        reader.fail(error_kind::out_of_range,
+            "field \"" + std::string { field } + "\" must have at most " + std::to_string(maxTextBytes) + " bytes");
+    return text;
+}
+
 [[nodiscard]] static result<directory_record> fromJson(const nlohmann::json& object)
 {
     json_reader reader { object, "directory record" };
     directory_record record;
-    record.node = reader.string("node");
-    record.peerAddress = reader.string("peer_address");
-    record.data_centre = reader.string("data_centre");
+    record.node = readText(reader, "node");
+    record.peerAddress = readText(reader, "peer_address");
+    const result<host_port> address = parseHostPort(record.peerAddress);
+    if (!hasValue(address))
+        reader.fail(error_kind::invalid_value, "field \"peer_address\": " + errorOf(address).message);
+    record.data_centre = readText(reader, "data_centre");
     record.writtenAt = reader.integer("written_ms", 0, INT64_MAX / 2);
-    record.upstream.service = reader.string("service");
-    record.upstream.incarnation.id = reader.string("upstream");
+    record.upstream.service = readText(reader, "service");
+    record.upstream.incarnation.id = readText(reader, "upstream");
     record.upstream.incarnation.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
-    record.upstream.address = reader.string("address");
-    record.upstream.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, maxSlots));
+    record.upstream.address = readText(reader, "address");
+    record.upstream.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, directory_record::maxSlots));
     record.upstream.data_centre = record.data_centre;
     record.upstream.state = reader.boolean("serving", false) ? upstream_state::serving : upstream_state::draining;
     if (const std::optional<error> fault = reader.finishLenient())
@@ -263,12 +276,13 @@
     const result<nlohmann::json> document = parseJson(text, "directory snapshot from a peer");
     if (!hasValue(document))
         return errorOf(document);
+    if (!valueOf(document).is_array())
+        return error { error_kind::wrong_type, "directory snapshot from a peer: must be a list of records" };
     std::vector<directory_record> records;
     for (const nlohmann::json& item : valueOf(document)) {
         const result<directory_record> record = internal::fromJson(item);
-        if (!hasValue(record))
-            return errorOf(record);
-        records.push_back(valueOf(record));
+        if (hasValue(record))
+            records.push_back(valueOf(record));
     }
     return records;
 }
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -19,6 +19,8 @@
 
 /** @brief Address of a node and the upstream on its host, as published by the node. */
 struct directory_record {
+    static constexpr std::int64_t maxSlots = 1'000'000;
+
     node_name node;
     std::string peerAddress; /*!< `host:port` on which it accepts links. */
     std::string data_centre;
@@ -135,7 +137,8 @@
     /** @brief Returns the JSON text of some records, in the format of `format`. */
     [[nodiscard]] static std::string formatRecords(const std::vector<directory_record>& records);
 
-    /** @brief Parses the records that a peer wrote with `format`; returns the first error if one is malformed. */
+    /** @brief Parses the records that a peer wrote with `format`, without malformed ones; returns an error if the text
+     * is no list of records. */
     [[nodiscard]] static result<std::vector<directory_record>> parseRecords(std::string_view text);
 
 private:
--- a/test/platform/messages.cpp
+++ b/test/platform/messages.cpp
@@ -183,6 +183,29 @@
     EXPECT_FALSE(hasValue(decodeRecordBatch(body.substr(0, body.size() - 1))));
 }
 
+// Guards against a reader that stops at a record of another writer which has no proper key.
+TEST(PlatformMessages, LeavesOutRecordsWithoutAKey)
+{
+    std::string body = std::string(15, '\0') + "\x05";
+    body += encodeRecord({ "a", "value" });
+    body += std::string(4, '\0'); // A record of no bytes.
+    body += std::string { "\0\0\0\x02\x05x", 6 }; // A key that is longer than its record.
+    body += encodeRecord({ "b", "value" });
+    const result<record_batch> decoded = decodeRecordBatch(body);
+    ASSERT_TRUE(hasValue(decoded));
+    EXPECT_EQ(valueOf(decoded).records, (std::vector<keyed_record> { { "a", "value" }, { "b", "value" } }));
+    EXPECT_EQ(valueOf(decoded).count, 4U);
+}
+
+// Guards against a node that never becomes ready because of one item in the snapshot.
+TEST(PlatformMessages, LeavesOutMalformedItemsOfAPage)
+{
+    const result<snapshot_page> page = decodeSnapshotPage(
+        R"({"items":[{"Key":7,"Value":"YWI="},{"Key":"a","Value":7},"x",{"Key":"b","Value":"YWI="}],"EndOffset":6})");
+    ASSERT_TRUE(hasValue(page));
+    EXPECT_EQ(valueOf(page).records, (std::vector<keyed_record> { { "b", "ab" } }));
+}
+
 TEST(PlatformMessages, DecodesAPageOfNewestRecords)
 {
     const result<snapshot_page> page
