Drop a response that names no request on a used connection

Another operator reported callers that were told "not run" for requests that ran, or requests that ran twice, because a faulty backend wrote an earlier refusal once more on a kept connection.

Cause: a response without X-Request-Id counted as the answer to the request under way. One with the identifier of another request was already dropped.

Change: the boundary tells three relations of a response to a request. One that names no request is an answer only as the first response of its connection; later it is dropped, the exchange waits on, and the connection is not reused.

Evidence: exchange_client_test.DropsARepeatedRefusal fails with the old rule (the second request gets the refusal).

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -232,7 +232,7 @@
     const std::uint64_t exchange = m_upstream.start(
         action.address, m_boundary.makeUpstreamRequest(action),
         [this, requestId = action.requestId](
-            const opaque_response& response) { return m_boundary.isAnswerTo(requestId, response); },
+            const opaque_response& response) { return m_boundary.relate(requestId, response); },
         [this, id](exchange_outcome outcome) {
             m_exchangeIds.erase(id);
             exchange_ended event;
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -28,8 +28,8 @@
     std::function<std::variant<client_request, opaque_response>(request_handle, opaque_request)> readRequest;
     /** @brief Builds the request to be sent to the upstream. */
     std::function<opaque_request(const start_exchange&)> makeUpstreamRequest;
-    /** @brief Returns true if an upstream response belongs to the request with an identifier. */
-    std::function<bool(const std::string&, const opaque_response&)> isAnswerTo;
+    /** @brief Returns how an upstream response relates to the request with an identifier. */
+    std::function<response_relation(const std::string&, const opaque_response&)> relate;
     /** @brief Converts a response from the upstream. */
     std::function<upstream_response(opaque_response)> readUpstreamResponse;
     /** @brief Writes the record of this node to the directory. */
--- a/src/knapweedcroft/http/exchange_client.cpp
+++ b/src/knapweedcroft/http/exchange_client.cpp
@@ -42,11 +42,11 @@
     [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_bufferedBytes; }
     [[nodiscard]] completion_handler takeCompletionHandler() { return std::move(m_onDone); }
 
-    void begin(
-        std::uint64_t exchangeId, const opaque_request& request, response_predicate isMatch, completion_handler onDone)
+    void begin(std::uint64_t exchangeId, const opaque_request& request, response_classifier classify,
+        completion_handler onDone)
     {
         m_exchangeId = exchangeId;
-        m_isMatch = std::move(isMatch);
+        m_classify = std::move(classify);
         m_onDone = std::move(onDone);
         m_isHead = request.method == "HEAD";
         m_mismatchedResponses = 0;
@@ -83,7 +83,7 @@
     void becomeIdle()
     {
         m_exchangeId = 0;
-        m_isMatch = nullptr;
+        m_classify = nullptr;
         m_timer.start(m_idleTimeout);
     }
 
@@ -184,7 +184,11 @@
         const std::optional<int> seconds = m_parser->keepAliveSeconds();
         opaque_response response = m_parser->take();
         setBufferedBytes(0);
-        if (!m_isMatch(response)) {
+        const response_relation relation = m_classify(response);
+        const bool isFirst = !std::exchange(m_hasReceived, true);
+        const bool isIdentified = relation != response_relation::unidentified;
+        m_isInSequence = m_isInSequence && isIdentified;
+        if (relation == response_relation::foreign || (!isIdentified && !isFirst)) {
             ++m_client.m_counters.mismatchedResponses;
             if (++m_mismatchedResponses > internal::maxMismatchedResponses) {
                 failOversized("the server keeps sending responses to other requests");
@@ -207,7 +211,7 @@
             && evbuffer_get_length(bufferevent_get_output(m_stream.get())) == 0;
         if (!isClean)
             ++m_client.m_counters.unsolicitedData;
-        const bool isReusable = isKeepAlive && isClean && milliseconds {} < m_idleTimeout;
+        const bool isReusable = isKeepAlive && isClean && m_isInSequence && milliseconds {} < m_idleTimeout;
         m_isClosed = !isReusable;
         m_client.finish(*this, std::move(response), isReusable);
     }
@@ -272,7 +276,7 @@
     internal::bufferevent_ptr m_stream;
     loop_timer m_timer;
     std::unique_ptr<response_parser> m_parser;
-    response_predicate m_isMatch;
+    response_classifier m_classify;
     completion_handler m_onDone;
     milliseconds m_idleTimeout;
     std::uint64_t m_exchangeId = 0;
@@ -282,6 +286,8 @@
     bool m_isConnected = false;
     bool m_hasWritten = false;
     bool m_isClosed = false;
+    bool m_hasReceived = false; // A response, to any request.
+    bool m_isInSequence = true; // Each response so far has named a request.
 };
 
 exchange_client::exchange_client(event_loop& loop, const exchange_client_settings& settings)
@@ -305,7 +311,7 @@
 }
 
 std::uint64_t exchange_client::start(
-    const std::string& address, const opaque_request& request, response_predicate isMatch, completion_handler onDone)
+    const std::string& address, const opaque_request& request, response_classifier classify, completion_handler onDone)
 {
     std::unique_ptr<connection> selected = acquireIdle(address);
     if (!selected)
@@ -313,7 +319,7 @@
     connection& target = *selected;
     const std::uint64_t exchangeId = ++m_lastExchangeId;
     m_active.emplace(exchangeId, std::move(selected));
-    target.begin(exchangeId, request, std::move(isMatch), std::move(onDone));
+    target.begin(exchangeId, request, std::move(classify), std::move(onDone));
     return exchangeId;
 }
 
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -25,6 +25,13 @@
 /** @brief Outcome of an exchange. */
 using exchange_outcome = std::variant<opaque_response, exchange_failure>;
 
+/** @brief How a response relates to the request that waits for one. */
+enum class response_relation : std::uint8_t {
+    answer, /*!< It names the request. */
+    foreign, /*!< It names another request. */
+    unidentified /*!< It names no request. */
+};
+
 /** @brief Settings of an exchange client. */
 struct exchange_client_settings {
     message_limits limits { std::size_t { 64 } * 1024, std::size_t { 64 } * 1024 * 1024 };
@@ -40,7 +47,7 @@
 /** @brief Counters of a client since its construction. */
 struct exchange_counters {
     std::uint64_t openedConnections = 0;
-    std::uint64_t mismatchedResponses = 0; /*!< Responses to a different request, discarded. */
+    std::uint64_t mismatchedResponses = 0; /*!< Responses that may belong to a different request, discarded. */
     std::uint64_t unsolicitedData = 0; /*!< Connections closed because of data outside a response. */
     std::uint64_t oversizedResponses = 0; /*!< Exchanges that failed because of a size limit. */
 };
@@ -48,15 +55,16 @@
 /**
  * @brief HTTP/1.1 client with persistent connections and one request at a time on each connection.
  *
- * Requests are never retried. A response that the caller's predicate rejects is discarded, and the client waits for the
- * next one on the connection, but fails the exchange after several of them. A connection is closed instead of reused if
- * it carries data outside a response, if the response arrived before the whole request was written, or if its exchange
- * was cancelled.
+ * Requests are never retried. A response to another request is discarded, and the client waits for the next one on the
+ * connection, but fails the exchange after several of them. A response that names no request is an answer only if it is
+ * the first one of its connection: on a connection that was used before, it may repeat an earlier response. A
+ * connection is closed instead of reused if it carries data outside a response or a response that names no request, if
+ * the response arrived before the whole request was written, or if its exchange was cancelled.
  */
 class exchange_client {
 public:
-    /** @brief Returns whether a response belongs to the request. */
-    using response_predicate = std::function<bool(const opaque_response&)>;
+    /** @brief Returns how a response relates to the request. */
+    using response_classifier = std::function<response_relation(const opaque_response&)>;
 
     /** @brief Called once with the outcome, never from within `start`. */
     using completion_handler = std::function<void(exchange_outcome)>;
@@ -75,11 +83,11 @@
      * @brief Starts an exchange.
      * @param address `host:port` of the server.
      * @param request Request to send.
-     * @param isMatch Returns whether a response belongs to the request.
+     * @param classify Returns how a response relates to the request.
      * @param onDone Receives the outcome, unless the exchange is cancelled.
      * @return Identifier of the exchange; never reused.
      */
-    std::uint64_t start(const std::string& address, const opaque_request& request, response_predicate isMatch,
+    std::uint64_t start(const std::string& address, const opaque_request& request, response_classifier classify,
         completion_handler onDone);
 
     /**
--- a/test/knapweedcroft/http/exchange_client.cpp
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -88,14 +88,24 @@
 
 class exchange_client_test : public testing::Test {
 protected:
-    exchange_outcome exchange(const std::string& id)
+    void start(const std::string& id, exchange_client::completion_handler onDone)
     {
-        std::optional<exchange_outcome> outcome;
         const opaque_request request { "GET", "/", { { "Id", id } }, "" };
         m_client.start(
             m_server.address(), request,
-            [id](const opaque_response& received) { return findHeader(received.headers, "Id").value_or(id) == id; },
-            [&outcome](exchange_outcome received) { outcome = std::move(received); });
+            [id](const opaque_response& received) {
+                const std::optional<std::string> named = findHeader(received.headers, "Id");
+                if (!named)
+                    return response_relation::unidentified;
+                return *named == id ? response_relation::answer : response_relation::foreign;
+            },
+            std::move(onDone));
+    }
+
+    exchange_outcome exchange(const std::string& id)
+    {
+        std::optional<exchange_outcome> outcome;
+        start(id, [&outcome](exchange_outcome received) { outcome = std::move(received); });
         m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 });
         return outcome.value_or(
             exchange_failure { true, error { error_kind::timed_out, "the exchange had no outcome within 5 s" } });
@@ -129,6 +139,38 @@
     EXPECT_EQ(m_client.counters().mismatchedResponses, 1U);
 }
 
+// Guards against a refusal that the server repeats on a kept connection: the request that runs there meanwhile would be
+// reported as not run, or run at a second server (REFUSED, TWICE).
+TEST_F(exchange_client_test, DropsARepeatedRefusal)
+{
+    const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    const std::string named = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string& repeated : { named, unnamed }) {
+        m_server.script.push_back({ named });
+        m_server.script.push_back({ repeated });
+        ASSERT_TRUE(std::holds_alternative<opaque_response>(exchange("1")));
+        const std::uint64_t dropped = m_client.counters().mismatchedResponses;
+        std::optional<exchange_outcome> outcome;
+        start("2", [&outcome](exchange_outcome received) { outcome = std::move(received); });
+        m_loop.runUntil([&] { return m_client.counters().mismatchedResponses > dropped; }, milliseconds { 5000 });
+        EXPECT_FALSE(outcome.has_value()) << repeated;
+        m_server.writeToAll(response("2", "b"));
+        m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 });
+        ASSERT_TRUE(outcome.has_value());
+        EXPECT_EQ(bodyOf(*outcome), "b") << repeated;
+    }
+}
+
+// A server that names no requests still gets each of them, on a connection of its own.
+TEST_F(exchange_client_test, TakesAnUnnamedResponseOfANewConnection)
+{
+    const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    m_server.script = { { unnamed + "a" }, { unnamed + "b" } };
+    EXPECT_EQ(bodyOf(exchange("1")), "a");
+    EXPECT_EQ(bodyOf(exchange("2")), "b");
+    EXPECT_EQ(m_server.connections, 2U);
+}
+
 // Data after a complete response belongs to no request; a reused connection could match it to the next one.
 TEST_F(exchange_client_test, ClosesAConnectionWithSurplusBytes)
 {
@@ -193,7 +235,8 @@
     m_server.script = { { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n" } };
     std::optional<exchange_outcome> outcome;
     m_client.start(
-        m_server.address(), opaque_request { "HEAD", "/", {}, "" }, [](const opaque_response&) { return true; },
+        m_server.address(), opaque_request { "HEAD", "/", {}, "" },
+        [](const opaque_response&) { return response_relation::answer; },
         [&outcome](exchange_outcome received) { outcome = std::move(received); });
     ASSERT_TRUE(m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 }));
     EXPECT_TRUE(std::holds_alternative<opaque_response>(*outcome));
@@ -209,7 +252,8 @@
     }
     std::optional<exchange_outcome> outcome;
     m_client.start(
-        address, opaque_request { "GET", "/", {}, "" }, [](const opaque_response&) { return true; },
+        address, opaque_request { "GET", "/", {}, "" },
+        [](const opaque_response&) { return response_relation::answer; },
         [&outcome](exchange_outcome received) { outcome = std::move(received); });
     ASSERT_TRUE(m_loop.runUntil([&outcome] { return outcome.has_value(); }, milliseconds { 5000 }));
     ASSERT_TRUE(std::holds_alternative<exchange_failure>(*outcome));
@@ -220,7 +264,8 @@
 TEST_F(exchange_client_test, ClosesTheConnectionOfACancelledExchange)
 {
     const std::uint64_t exchange = m_client.start(
-        m_server.address(), opaque_request { "GET", "/", {}, "" }, [](const opaque_response&) { return true; },
+        m_server.address(), opaque_request { "GET", "/", {}, "" },
+        [](const opaque_response&) { return response_relation::answer; },
         [](const exchange_outcome&) { FAIL() << "completion handler called after the exchange was cancelled"; });
     ASSERT_TRUE(m_loop.runUntil([this] { return m_server.connections == 1; }, milliseconds { 5000 }));
     m_client.cancel(exchange);
@@ -256,7 +301,9 @@
         std::optional<exchange_outcome> outcome;
         client.start(
             server.address(), opaque_request { "GET", "/", {}, "" },
-            [](const opaque_response& received) { return !findHeader(received.headers, "Id"); },
+            [](const opaque_response& received) {
+                return findHeader(received.headers, "Id") ? response_relation::foreign : response_relation::answer;
+            },
             [&outcome](exchange_outcome received) { outcome = std::move(received); });
         EXPECT_TRUE(m_loop.runUntil([&server] { return server.closed == 1; }, milliseconds { 5000 })) << row.name;
         EXPECT_TRUE(outcome && std::holds_alternative<exchange_failure>(*outcome)) << row.name;
@@ -276,7 +323,8 @@
     std::size_t maxBufferedBytes = 0;
     for (std::size_t number = 0; number < count; ++number) {
         client.start(
-            server.address(), opaque_request { "GET", "/", {}, "" }, [](const opaque_response&) { return true; },
+            server.address(), opaque_request { "GET", "/", {}, "" },
+            [](const opaque_response&) { return response_relation::answer; },
             [&failures](const exchange_outcome& outcome) {
                 failures += std::holds_alternative<exchange_failure>(outcome) ? 1U : 0U;
             });
@@ -285,7 +333,7 @@
     m_server.script = { { response("1", std::string(std::size_t { 64 } * 1024, 'y')) } };
     client.start(
         m_server.address(), opaque_request { "GET", "/", { { "Id", "1" } }, "" },
-        [](const opaque_response&) { return true; },
+        [](const opaque_response&) { return response_relation::answer; },
         [&proper](exchange_outcome received) { proper = std::move(received); });
     EXPECT_TRUE(m_loop.runUntil(
         [&] {
--- a/test/platform/endless_responses.cpp
+++ b/test/platform/endless_responses.cpp
@@ -45,7 +45,7 @@
         const opaque_request request { "GET", "/look/" + id,
             { { "Host", "farm.example" }, { "X-Request-Id", id }, { "X-Deadline-Ms", "4000" } }, "" };
         m_clients.start(
-            m_node.clientAddress(), request, [](const opaque_response&) { return true; },
+            m_node.clientAddress(), request, [](const opaque_response&) { return response_relation::answer; },
             [&failures](const exchange_outcome& outcome) {
                 const opaque_response* response = std::get_if<opaque_response>(&outcome);
                 failures += response != nullptr && response->status != okStatus ? 1U : 0U;
--- a/test/platform/messages.cpp
+++ b/test/platform/messages.cpp
@@ -138,9 +138,14 @@
     const upstream_response other = readBackendResponse({ 421, {}, "" });
     EXPECT_TRUE(other.isNotRun);
     EXPECT_TRUE(other.isMisdirected);
-    EXPECT_TRUE(isAnswerTo("r1", { 200, { { "X-Request-Id", "r1" } }, "" }));
-    EXPECT_TRUE(isAnswerTo("r1", { 200, {}, "" }));
-    EXPECT_FALSE(isAnswerTo("r1", { 200, { { "X-Request-Id", "r2" } }, "" }));
+}
+
+// Guards against a response that names no request and is taken for the answer to the present one.
+TEST(PlatformMessages, TellsToWhichRequestAResponseBelongs)
+{
+    EXPECT_EQ(relate("r1", { 200, { { "X-Request-Id", "r1" } }, "" }), response_relation::answer);
+    EXPECT_EQ(relate("r1", { 200, { { "X-Request-Id", "r2" } }, "" }), response_relation::foreign);
+    EXPECT_EQ(relate("r1", { 200, {}, "" }), response_relation::unidentified);
 }
 
 TEST(PlatformMessages, ReadsTheLimitThatABackendNames)
--- a/test/platform/soak/fake_upstream.cpp
+++ b/test/platform/soak/fake_upstream.cpp
@@ -197,7 +197,7 @@
     m_ledger.recordSent(id, m_location.node, *inner, m_clock.now());
     running.callId = id;
     running.exchange = m_calls.start(
-        m_location.outbound, call, [](const opaque_response&) { return true; },
+        m_location.outbound, call, [](const opaque_response&) { return response_relation::answer; },
         [this, number, id](const exchange_outcome& outcome) {
             m_ledger.recordEnd(id, outcome, m_clock.now());
             const auto parent = m_jobs.find(number);
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -451,7 +451,8 @@
     m_ledger.recordSent(id, host.node, entry, m_clock.now());
     const std::uint64_t exchange = m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }),
-        makeRequest(id, entry, target.empty() ? entry.path + id : target), [](const opaque_response&) { return true; },
+        makeRequest(id, entry, target.empty() ? entry.path + id : target),
+        [](const opaque_response&) { return response_relation::answer; },
         [this, id](const exchange_outcome& outcome) { m_ledger.recordEnd(id, outcome, m_clock.now()); });
     constexpr std::uint64_t requestsPerCancellation = 25;
     const bool isCancelling = m_lastRequest % requestsPerCancellation == 0;
@@ -480,7 +481,7 @@
     m_ledger.recordSent(id, host.node, entry, m_clock.now());
     m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry, entry.path + id),
-        [](const opaque_response&) { return true; },
+        [](const opaque_response&) { return response_relation::answer; },
         [this, id, &host, probe](const exchange_outcome& outcome) mutable {
             m_ledger.recordEnd(id, outcome, m_clock.now());
             const opaque_response* response = std::get_if<opaque_response>(&outcome);
@@ -501,7 +502,7 @@
     std::optional<exchange_outcome> outcome;
     m_clients.start(
         formatHostPort({ host.ip, internal::clientPort }), makeRequest(id, entry, entry.path + id),
-        [](const opaque_response&) { return true; },
+        [](const opaque_response&) { return response_relation::answer; },
         [&outcome](exchange_outcome ended) { outcome = std::move(ended); });
     const bool hasEnded = m_loop.runUntil([&outcome] { return outcome.has_value(); }, internal::clientTimeout);
     if (!hasEnded)
