Test that no cut of an answer passes as a whole one

Another operator reported 200s with an empty or short body after a backend stopped within the head of its answer. Here it can't happen: nothing reaches the parser before the head is complete, and an end before that is a failure. FailsOnEveryCutOfAnAnswer closes after each byte of four answers; it passes without any change.

--- a/test/knapweedcroft/http/exchange_client.cpp
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -220,6 +220,24 @@
     EXPECT_EQ(m_server.requests, rows.size());
 }
 
+// Guards against delivering a 200 with an empty or short body because the server stopped within its response.
+TEST_F(exchange_client_test, FailsOnEveryCutOfAnAnswer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n";
+    // The last one has no length, so it may end anywhere after its head.
+    const std::vector<std::string> responses { head + "Content-Length: 5\r\n\r\nabcde",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", head + "\r\n" };
+    for (const std::string& whole : responses) {
+        for (std::size_t length = 1; length < whole.size(); ++length) {
+            m_server.script.push_back({ whole.substr(0, length), true });
+            EXPECT_TRUE(std::holds_alternative<exchange_failure>(exchange("1"))) << whole.substr(0, length);
+        }
+        m_server.script.push_back({ whole, true });
+        EXPECT_TRUE(std::holds_alternative<opaque_response>(exchange("1"))) << whole;
+    }
+}
+
 // Guards against an exchange that stays open until its deadline because no memory can be reserved for the length that a
 // server announces.
 TEST_F(exchange_client_test, FailsOnALengthAboveTheLimit)
