Pass on no success without the upstream's signature

Change: such a success ends its exchange as a failure that may have run. It neither clears a suspected request content nor counts as a service time.

--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -52,6 +52,7 @@
     bool isNotRun = false; /*!< The upstream reports that it did not run the request. */
     bool isMisdirected = false; /*!< The process at the address is not the expected upstream. */
     upstream_notices notices {};
+    bool isUnverified = false; /*!< A success without the proof that the upstream gave it. */
 };
 
 /** @brief An exchange with the upstream of this host ended. */
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -277,6 +277,14 @@
 forward_outcome served_requests::outcomeOf(
     const served_request& request, upstream_response& response, time_point now, gateway_actions& actions)
 {
+    if (response.isUnverified) {
+        log("exchange_failed", request,
+            { { "cause", "a success without the upstream's signature" },
+                { "remedy", "find out what answers at the upstream's address" } },
+            actions);
+        ++m_counters.failed;
+        return forward_failure { "the upstream's success has no signature" };
+    }
     if (!response.isNotRun) {
         ++m_counters.answered;
         return std::move(response.response);
@@ -324,7 +332,7 @@
         applyNotices(request, notices, now, actions);
     forward_outcome outcome
         = response != nullptr ? outcomeOf(request, *response, now, actions) : outcomeOf(request, *failure, actions);
-    const bool isMeasured = response != nullptr && !response->isNotRun;
+    const bool isMeasured = response != nullptr && !response->isNotRun && !response->isUnverified;
     if (isMeasured)
         recordCompleteAnswer(request, now);
     const slot_decisions decisions = m_queue.release(event.id, isMeasured, now);
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -99,6 +99,19 @@
     EXPECT_EQ(std::get<opaque_response>(m_group.answers("c").front().answer), response.response);
 }
 
+// Guards against a success that the upstream has not given and that reaches the client (MIXED). The request may have
+// run.
+TEST_F(gateway_core_test, PassesOnNoSuccessWithoutASignature)
+{
+    upstream_response unverified;
+    unverified.isUnverified = true;
+    sendViaC("book");
+    endExchange(target(), unverified);
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(statusOf(m_group.answers("c").front()), 502);
+    EXPECT_EQ(exchangeCount(), 1U);
+}
+
 TEST_F(gateway_core_test, AnswersAnUnknownEntryWith404)
 {
     client_request event;
--- a/test/platform/messages.cpp
+++ b/test/platform/messages.cpp
@@ -140,6 +140,15 @@
     EXPECT_TRUE(other.isMisdirected);
 }
 
+// Guards against a success that the backend has not given (MIXED).
+TEST(PlatformMessages, TellsASuccessWithoutASignature)
+{
+    EXPECT_TRUE(readBackendResponse({ 200, {}, "" }).isUnverified);
+    EXPECT_TRUE(readBackendResponse({ 204, {}, "" }).isUnverified);
+    EXPECT_FALSE(readBackendResponse({ 200, { { "x-response-signature", "s" } }, "" }).isUnverified);
+    EXPECT_FALSE(readBackendResponse({ 500, {}, "" }).isUnverified);
+}
+
 // Guards against a response that names no request and is taken for the answer to the present one.
 TEST(PlatformMessages, TellsToWhichRequestAResponseBelongs)
 {
