Report lost calls without reporting the link as closed

Cause: when a surplus link ended uncleanly, the hub reported the healthy active link as closed and opened again, to end the calls that may be lost. The directory dropped the status of the peer's upstream, which the peer sends only when its own side of a link opens, or on a change.

Change: the event calls_lost names the calls that get no answer; the link, the status and the requests served for the peer stay, and the node sends its own status again. A surplus link that never carried a message has lost nothing and reports nothing. The same for a request without a link if one has been opened in the meantime.

--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -125,7 +125,7 @@
 using gateway_event = std::variant<client_request, client_disconnected, exchange_ended, upstream_checked,
     announcement_received, leave_received, record_stored, catalogue_read, directory_read, catalogue_confirmed,
     store_era_changed, store_availability_changed, retry_settings_changed, stop_requested, link_suspected, link_opened,
-    link_closed, message_received, timer_fired>;
+    link_closed, calls_lost, message_received, timer_fired>;
 
 } // namespace knapweedcroft
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -635,6 +635,14 @@
     scheduleConnect(event.peer, internal::reconnectDelay);
 }
 
+void gateway_core::on(const calls_lost& event, gateway_actions& actions)
+{
+    m_origin.handleCallsLost(event, m_now, actions);
+    // The status that was sent last may be lost, and it is sent on changes only.
+    if (const known_node* known = m_directory.find(event.peer); known != nullptr && known->isLinked)
+        actions.emplace_back(send_to_peer { event.peer, makeStatus() });
+}
+
 void gateway_core::on(message_received& event, gateway_actions& actions)
 {
     std::visit([this, &event, &actions](auto& typed) { receive(event.peer, typed, actions); }, event.message);
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -87,6 +87,7 @@
     void on(const link_suspected& event, gateway_actions& actions);
     void on(const link_opened& event, gateway_actions& actions);
     void on(const link_closed& event, gateway_actions& actions);
+    void on(const calls_lost& event, gateway_actions& actions);
     void on(message_received& event, gateway_actions& actions);
     void on(const timer_fired& event, gateway_actions& actions);
 
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -187,6 +187,8 @@
         handle(std::move(*opened));
     } else if (link_closed* closed = std::get_if<link_closed>(&event)) {
         handle(std::move(*closed));
+    } else if (calls_lost* lost = std::get_if<calls_lost>(&event)) {
+        handle(std::move(*lost));
     }
 }
 
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -4,6 +4,7 @@
 #include "knapweedcroft/gateway/request_digest.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace knapweedcroft {
 
@@ -341,15 +342,23 @@
 
 void origin_requests::handleLinkLost(const link_closed& event, time_point now, gateway_actions& actions)
 {
-    std::vector<std::uint64_t> lost;
-    for (const std::pair<const std::uint64_t, origin_request>& item : m_requests) {
-        if (item.second.node == event.peer)
-            lost.push_back(item.first);
-    }
-    std::sort(lost.begin(), lost.end());
-    for (const std::uint64_t id : lost) {
-        const bool isUnwritten
-            = std::find(event.unwritten.begin(), event.unwritten.end(), call_id { id }) != event.unwritten.end();
+    calls_lost lost { event.peer, {}, event.unwritten };
+    for (const std::pair<const std::uint64_t, origin_request>& item : m_requests)
+        lost.lost.emplace_back(item.first);
+    handleCallsLost(lost, now, actions);
+}
+
+void origin_requests::handleCallsLost(const calls_lost& event, time_point now, gateway_actions& actions)
+{
+    const std::set<call_id> unwritten { event.unwritten.begin(), event.unwritten.end() };
+    std::set<call_id> affected { event.lost.begin(), event.lost.end() };
+    affected.insert(unwritten.begin(), unwritten.end());
+    for (const call_id call : affected) {
+        const std::uint64_t id = call.value();
+        const auto position = m_requests.find(id);
+        if (position == m_requests.end() || position->second.node != event.peer)
+            continue;
+        const bool isUnwritten = unwritten.count(call) != 0;
         m_upstreamSelector.recordEnd(event.peer, m_requests.at(id).entry->name, std::nullopt, now);
         if (isUnwritten)
             handleRefusal(
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -88,6 +88,9 @@
      */
     void handleLinkLost(const link_closed& event, time_point now, gateway_actions& actions);
 
+    /** @brief Reroutes, retries or answers requests that get no answer any more as `handleLinkLost` does. */
+    void handleCallsLost(const calls_lost& event, time_point now, gateway_actions& actions);
+
     /** @brief Uses the service times that a node has measured at its upstream. */
     void handleServiceTimes(const node_name& node, const service_times_message& message, time_point now);
 
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -284,6 +284,7 @@
 
 void peer_hub::onMessage(link_record& record, peer_message message)
 {
+    record.hasCarriedMessages = true;
     if (record.phase == link_phase::standby)
         replaceActiveLink(record);
     if (const ping_message* ping = std::get_if<ping_message>(&message)) {
@@ -345,13 +346,12 @@
         closeActiveLink(*record, end.reason);
     } else if (wasReplacement && active != nullptr && wasReplacing) {
         closeActiveLink(*active, "no response to pings, and the replacement link could not be opened");
-    } else if (isLossy && active != nullptr && !peer.pendingCalls.empty()) {
-        // The calls sent on the closed link may be lost, and it is unknown which. Reporting the active link as closed
-        // and opened again ends them all.
-        const std::vector<call_id> unwritten = record->link->unwrittenCalls();
+    } else if (isLossy && active != nullptr && record->hasCarriedMessages) {
+        // The link may have carried pending calls or their answers, and it is unknown which.
+        calls_lost event { name, {}, record->link->unwrittenCalls() };
+        event.lost.assign(peer.pendingCalls.begin(), peer.pendingCalls.end());
         peer.pendingCalls.clear();
-        m_handlers.deliver(link_closed { name, unwritten });
-        m_handlers.deliver(link_opened { *active->hello });
+        m_handlers.deliver(std::move(event));
     }
     removeLink(id);
     if (peer.activeLink == 0)
@@ -390,6 +390,7 @@
 {
     const node_name name = record.hello->node;
     record.phase = link_phase::active;
+    record.hasCarriedMessages = true;
     peer_record& peer = findOrAddPeer(name);
     peer.activeLink = record.id;
     peer.state.fire(peer_link_event::opened);
@@ -480,6 +481,7 @@
     }
     peer_record& peer = findOrAddPeer(added.hello->node);
     added.phase = link_phase::active;
+    added.hasCarriedMessages = true;
     peer.activeLink = added.id;
     peer.state.fire(peer_link_event::opened);
     retire(existing);
@@ -528,11 +530,11 @@
             return;
         const std::vector<call_id> unwritten = std::move(position->second);
         m_undeliverableCalls.erase(position);
-        m_handlers.deliver(link_closed { peer, unwritten });
-        // A link that was opened in the meantime is still open, but the report above marks it as closed, so report it
-        // again.
-        if (const link_record* active = activeLink(peer))
-            m_handlers.deliver(link_opened { *active->hello });
+        // A link may have been opened in the meantime, and the peer's first messages on it must not be forgotten.
+        if (activeLink(peer) == nullptr)
+            m_handlers.deliver(link_closed { peer, unwritten });
+        else
+            m_handlers.deliver(calls_lost { peer, {}, unwritten });
     });
 }
 
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -142,6 +142,7 @@
         std::uint64_t pingSequence = 0;
         std::uint32_t unansweredPings = 0;
         bool isDetached = false; /*!< Existed at the last `reset`; its events are ignored. */
+        bool hasCarriedMessages = false; /*!< It has been active here, or the peer has used it. */
         bool isReplyExpected = false; /*!< A message was sent after the last one received. */
     };
 
--- a/src/knapweedcroft/node/events.hpp
+++ b/src/knapweedcroft/node/events.hpp
@@ -49,6 +49,17 @@
     std::vector<call_id> unwritten; /*!< Calls of which no byte was written. */
 };
 
+/**
+ * @brief Calls that were sent to a peer get no answer any more, while a link to it is open.
+ *
+ * Other messages to the peer may be lost as well.
+ */
+struct calls_lost {
+    node_name peer;
+    std::vector<call_id> lost; /*!< Calls that the peer may have received. */
+    std::vector<call_id> unwritten; /*!< Calls of which no byte was written. */
+};
+
 /** @brief A message was received from a peer. */
 struct message_received {
     node_name peer;
@@ -127,7 +138,7 @@
 struct timer_fired { };
 
 /** @brief Event that a node handles. */
-using node_event = std::variant<call_arrived, caller_gone, link_opened, link_closed, message_received,
+using node_event = std::variant<call_arrived, caller_gone, link_opened, link_closed, calls_lost, message_received,
     upstream_answered, upstream_failed, upstream_announced, leave_requested, records_read, append_finished,
     log_availability_changed, timer_fired>;
 
--- a/src/knapweedcroft/node/node_core.cpp
+++ b/src/knapweedcroft/node/node_core.cpp
@@ -176,6 +176,14 @@
     m_served.handleLinkClosed(event, m_now, actions);
 }
 
+void node_core::on(const calls_lost& event, node_actions& actions)
+{
+    m_origin.handleCallsLost(event, m_now, actions);
+    m_served.handleCallsLost(event, m_now, actions);
+    if (m_drain.isLeaving())
+        actions.emplace_back(send_to_peer { event.peer, state_change_message { node_state::draining } });
+}
+
 void node_core::on(const message_received& event, node_actions& actions)
 {
     std::visit([&](const auto& value) { receive(event.peer, value, actions); }, event.message);
--- a/src/knapweedcroft/node/node_core.hpp
+++ b/src/knapweedcroft/node/node_core.hpp
@@ -74,6 +74,7 @@
     void on(const caller_gone& event, node_actions& actions);
     void on(const link_opened& event, node_actions& actions);
     void on(const link_closed& event, node_actions& actions);
+    void on(const calls_lost& event, node_actions& actions);
     void on(const message_received& event, node_actions& actions);
     void on(const upstream_answered& event, node_actions& actions);
     void on(const upstream_failed& event, node_actions& actions);
--- a/src/knapweedcroft/node/origin_calls.cpp
+++ b/src/knapweedcroft/node/origin_calls.cpp
@@ -6,6 +6,7 @@
 #include "knapweedcroft/wire/context.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace knapweedcroft {
@@ -419,12 +420,22 @@
 
 void origin_calls::handleLinkClosed(const link_closed& event, time_point now, node_actions& actions)
 {
-    std::vector<call_id> affected;
-    for (const auto& item : m_attempts) {
-        if (m_calls.at(item.second).current->target == event.peer)
-            affected.push_back(item.second);
+    calls_lost lost { event.peer, {}, event.unwritten };
+    for (const auto& item : m_attempts)
+        lost.lost.push_back(item.first);
+    handleCallsLost(lost, now, actions);
+}
+
+void origin_calls::handleCallsLost(const calls_lost& event, time_point now, node_actions& actions)
+{
+    std::set<call_id> affected;
+    for (const std::vector<call_id>* attempts : { &event.lost, &event.unwritten }) {
+        for (const call_id wireId : *attempts) {
+            const auto position = m_attempts.find(wireId);
+            if (position != m_attempts.end() && m_calls.at(position->second).current->target == event.peer)
+                affected.insert(position->second);
+        }
     }
-    std::sort(affected.begin(), affected.end());
     for (const call_id id : affected) {
         origin_call& call = m_calls.at(id);
         const attempt ended = std::move(*call.current);
--- a/src/knapweedcroft/node/origin_calls.hpp
+++ b/src/knapweedcroft/node/origin_calls.hpp
@@ -100,6 +100,9 @@
      */
     void handleLinkClosed(const link_closed& event, time_point now, node_actions& actions);
 
+    /** @brief Ends attempts that get no answer any more as `handleLinkClosed` does. */
+    void handleCallsLost(const calls_lost& event, time_point now, node_actions& actions);
+
     /**
      * @brief Sends waiting calls after the members of a service or the links to them changed.
      * @param service The service.
--- a/src/knapweedcroft/node/served_calls.cpp
+++ b/src/knapweedcroft/node/served_calls.cpp
@@ -3,6 +3,7 @@
 #include "knapweedcroft/core/hash.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace knapweedcroft {
@@ -378,18 +379,29 @@
 void served_calls::handleLinkClosed(const link_closed& event, time_point now, node_actions& actions)
 {
     std::vector<call_id> sent;
-    std::vector<call_id> delegated;
+    calls_lost delegated { event.peer, {}, event.unwritten };
     for (const auto& item : m_calls) {
         if (item.second.currentStage == stage::delegated && item.second.delegate == event.peer)
-            delegated.push_back(item.first);
+            delegated.lost.push_back(item.first);
         else if (item.second.from.peer == event.peer && !item.second.request.key)
             sent.push_back(item.first);
     }
     std::sort(sent.begin(), sent.end());
-    std::sort(delegated.begin(), delegated.end());
     for (const call_id id : sent)
         cancel(event.peer, m_calls.at(id).from.remoteId, now, actions);
-    for (const call_id id : delegated) {
+    handleCallsLost(delegated, now, actions);
+}
+
+void served_calls::handleCallsLost(const calls_lost& event, time_point now, node_actions& actions)
+{
+    std::set<call_id> affected { event.lost.begin(), event.lost.end() };
+    affected.insert(event.unwritten.begin(), event.unwritten.end());
+    for (const call_id id : affected) {
+        const auto position = m_calls.find(id);
+        const bool isDelegated = position != m_calls.end() && position->second.currentStage == stage::delegated
+            && position->second.delegate == event.peer;
+        if (!isDelegated)
+            continue;
         m_router.finished(event.peer, attempt_outcome::failed, milliseconds {}, milliseconds {}, now);
         const bool isUnwritten = std::find(event.unwritten.begin(), event.unwritten.end(), id) != event.unwritten.end();
         parent_summary summary;
--- a/src/knapweedcroft/node/served_calls.hpp
+++ b/src/knapweedcroft/node/served_calls.hpp
@@ -133,6 +133,9 @@
      */
     void handleLinkClosed(const link_closed& event, time_point now, node_actions& actions);
 
+    /** @brief Ends delegated calls that get no answer any more as `handleLinkClosed` does. */
+    void handleCallsLost(const calls_lost& event, time_point now, node_actions& actions);
+
     /**
      * @brief Refuses queued calls that can no longer meet their deadline, and ends delegated calls past theirs.
      * @param now Current time.
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -178,6 +178,31 @@
     EXPECT_EQ(exchangeCount(), 1U);
 }
 
+// Guards against a peer that gets no requests any more because the status of its upstream was forgotten although a link
+// to it is open (RECOVER).
+TEST_F(gateway_core_test, KeepsThePeerWhoseCallsWereLost)
+{
+    sendViaC("book");
+    const std::string node = target();
+    m_group.handle("c", calls_lost { node, { call_id { 1 } }, {} });
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(statusOf(m_group.answers("c").front()), 502);
+    m_group.handle("c", link_suspected { other(node), true });
+    const std::size_t before = m_group.exchanges(node).size();
+    sendViaC("book");
+    EXPECT_EQ(m_group.exchanges(node).size(), before + 1);
+}
+
+// Guards against a peer that never learns of a change because the status was lost with a link that it no longer used.
+TEST_F(gateway_core_test, SendsItsStatusAgainAfterCallsWereLost)
+{
+    const gateway_actions actions = m_group.core("a").handle(calls_lost { "c", {}, {} }, m_group.now(), m_group.now());
+    EXPECT_TRUE(std::any_of(actions.begin(), actions.end(), [](const gateway_action& action) {
+        const send_to_peer* sent = std::get_if<send_to_peer>(&action);
+        return sent != nullptr && sent->peer == "c" && std::holds_alternative<upstream_status_message>(sent->message);
+    }));
+}
+
 TEST_F(gateway_core_test, SendsAnUnwrittenRequestToAnotherUpstream)
 {
     sendViaC("book");
