Let a leave hold for the incarnation of an upstream

Cause: without start times, two heartbeats in a row below the newest number count as a restart under the same identifier, also after a leave. The same rule let a late heartbeat of a crashed backend shut out the living one.

Change: a leave or `draining` holds for the incarnation, also once it has been replaced; a former upstream is accepted again only while the present one is silent.

--- a/src/knapweedcroft/gateway/upstream_registry.cpp
+++ b/src/knapweedcroft/gateway/upstream_registry.cpp
@@ -39,8 +39,14 @@
 
 bool upstream_registry::hasDeparted(const upstream_incarnation& upstream) const
 {
-    const auto position = m_departedUnknown.find(upstream.id);
-    return position != m_departedUnknown.end() && upstream.startedAt <= position->second;
+    const auto position = m_departed.find(upstream.id);
+    return position != m_departed.end() && upstream.startedAt <= position->second;
+}
+
+void upstream_registry::recordDeparture(const upstream_incarnation& upstream)
+{
+    if (m_departed.size() < internal::maxFormerUpstreams)
+        m_departed[upstream.id] = upstream.startedAt;
 }
 
 // Announcements may arrive seconds late, even after the sender has ended and another upstream has replaced it.
@@ -54,12 +60,15 @@
     if (announcement.incarnation.startedAt < present.startedAt)
         return true;
     if (announcement.incarnation != present) {
-        const auto previous = m_previousSequences.find(announcement.incarnation.id);
-        const bool hasStartTime = announcement.incarnation.startedAt > 0;
-        return !hasStartTime && previous != m_previousSequences.end() && announcement.sequence >= previous->second;
+        // Without start times the order is unknown. A former upstream that still announces itself while the present one
+        // is silent was replaced by a late announcement.
+        const bool isFormer = m_formerUpstreams.count(announcement.incarnation.id) != 0;
+        return announcement.incarnation.startedAt == 0 && isFormer && m_state.state() != upstream_chart_state::silent;
     }
+    if (m_hasLeft || (isLeaving() && announcement.state != upstream_state::draining))
+        return true;
     if (announcement.sequence > m_current->sequence)
-        return m_hasLeft;
+        return false;
     // Two consecutive sequence numbers not above the newest one indicate a restart under the same identifier.
     const bool isRestart = present.startedAt == 0 && m_restartCandidateSequence
         && announcement.sequence == *m_restartCandidateSequence + 1;
@@ -72,11 +81,14 @@
 void upstream_registry::replaceCurrent(const upstream_announcement& announcement)
 {
     if (m_current) {
+        const upstream_incarnation& former = m_current->incarnation;
+        if (m_formerUpstreams.size() < internal::maxFormerUpstreams)
+            m_formerUpstreams.insert(former.id);
+        if (isLeaving())
+            recordDeparture(former);
         m_state.fire(upstream_chart_event::restarted);
-        if (m_previousSequences.size() < internal::maxFormerUpstreams)
-            m_previousSequences[m_current->incarnation.id] = m_current->sequence;
     }
-    m_previousSequences.erase(announcement.incarnation.id);
+    m_formerUpstreams.erase(announcement.incarnation.id);
     m_hasLeft = false;
 }
 
@@ -102,8 +114,7 @@
     const bool isCurrent = m_current && m_current->incarnation.id == id
         && startedAt.value_or(INT64_MAX) >= m_current->incarnation.startedAt;
     if (!isCurrent) {
-        if (m_departedUnknown.size() < internal::maxFormerUpstreams)
-            m_departedUnknown[id] = startedAt.value_or(INT64_MAX);
+        recordDeparture({ id, startedAt.value_or(INT64_MAX) });
         return false;
     }
     if (m_hasLeft)
--- a/src/knapweedcroft/gateway/upstream_registry.hpp
+++ b/src/knapweedcroft/gateway/upstream_registry.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace knapweedcroft {
@@ -99,13 +100,14 @@
     /** @brief Returns true if the upstream accepts new requests, also while it warms up. */
     [[nodiscard]] bool isServing() const noexcept;
 
-    /** @brief Returns true if the current upstream has announced that it leaves. */
+    /** @brief Returns true if the current upstream has announced that it leaves, which holds for this incarnation. */
     [[nodiscard]] bool isLeaving() const noexcept { return m_state.state() == upstream_chart_state::draining; }
 
     /** @brief Returns the remaining warm-up time of the upstream; never negative. */
     [[nodiscard]] milliseconds remainingWarmUp(time_point now) const;
 
 private:
+    void recordDeparture(const upstream_incarnation& upstream);
     [[nodiscard]] bool hasDeparted(const upstream_incarnation& upstream) const;
     void applyAnnouncedState(const upstream_announcement& announcement);
     [[nodiscard]] bool isStale(const upstream_announcement& announcement);
@@ -115,9 +117,8 @@
     milliseconds m_silenceTimeout;
     std::optional<upstream_announcement> m_current;
     time_point m_announcedAt;
-    std::map<std::string, std::int64_t> m_previousSequences; /*!< Last ones of replaced upstreams, by identifier. */
-    /** @brief Latest start of upstreams that left without being the current one, by identifier. */
-    std::map<std::string, std::int64_t> m_departedUnknown;
+    std::set<std::string> m_formerUpstreams; /*!< Identifiers of replaced upstreams. */
+    std::map<std::string, std::int64_t> m_departed; /*!< Latest start of other upstreams that left, by identifier. */
     std::optional<std::int64_t> m_restartCandidateSequence; /*!< Latest number not above the newest one. */
     bool m_hasLeft = false; /*!< The current incarnation left; its later announcements are stale. */
 };
--- a/test/knapweedcroft/gateway/upstream_registry.cpp
+++ b/test/knapweedcroft/gateway/upstream_registry.cpp
@@ -90,6 +90,47 @@
     EXPECT_FALSE(m_registry.isServing());
 }
 
+// Guards against late announcements that are taken for a restart, and revive an upstream whose leave was acknowledged
+// (DRAIN).
+TEST_F(upstream_registry_test, IgnoresLateAnnouncementsAfterItsLeave)
+{
+    upstream_announcement leaving = announcement("b", 0, 7);
+    leaving.state = upstream_state::draining;
+    m_registry.announce(announcement("a", 0, 7), at(1));
+    m_registry.leave("a", at(2));
+    for (const std::int64_t late : { 5, 6, 8 })
+        EXPECT_EQ(m_registry.announce(announcement("a", 0, late), at(3)), announcement_result::stale) << late;
+    EXPECT_FALSE(m_registry.isServing());
+    m_registry.announce(announcement("b", 0, 6), at(4));
+    m_registry.announce(leaving, at(5));
+    for (const std::int64_t late : { 4, 5, 8 })
+        EXPECT_EQ(m_registry.announce(announcement("b", 0, late), at(6)), announcement_result::stale) << late;
+    EXPECT_FALSE(m_registry.isServing());
+}
+
+// Guards against a late announcement of a crashed upstream that shuts out the living one without end (RECOVER).
+TEST_F(upstream_registry_test, ReturnsToTheUpstreamThatALateAnnouncementReplaced)
+{
+    m_registry.announce(announcement("living", 0, 10), at(1));
+    EXPECT_EQ(m_registry.announce(announcement("crashed", 0, 40), at(2)), announcement_result::changed);
+    EXPECT_EQ(m_registry.announce(announcement("living", 0, 11), at(3)), announcement_result::stale);
+    EXPECT_TRUE(m_registry.markUnreachable("crashed"));
+    EXPECT_EQ(m_registry.announce(announcement("living", 0, 12), at(4)), announcement_result::changed);
+    EXPECT_TRUE(m_registry.isServing());
+    EXPECT_EQ(m_registry.announce(announcement("crashed", 0, 41), at(5)), announcement_result::stale);
+}
+
+// Guards against an upstream that left, was replaced, and serves again while its successor is silent (DRAIN).
+TEST_F(upstream_registry_test, RemembersTheLeaveOfAReplacedUpstream)
+{
+    m_registry.announce(announcement("a", 0, 7), at(1));
+    m_registry.leave("a", at(2));
+    m_registry.announce(announcement("b", 0, 1), at(3));
+    m_registry.markUnreachable("b");
+    EXPECT_EQ(m_registry.announce(announcement("a", 0, 8), at(4)), announcement_result::stale);
+    EXPECT_FALSE(m_registry.isServing());
+}
+
 TEST_F(upstream_registry_test, BecomesSilentAndComesBack)
 {
     m_registry.announce(announcement("a", 100, 1), at(0));
