Move large bodies instead of copying them, and count them as they arrive

Cause: a body was held five times, and the limit counted it once, after it had been read whole.

Change: the body moves into the output buffer without a copy; above 15 MiB, where only this host can run it, it isn't kept for a retry. The server counts a body from its header on, twice if a copy is kept, against half of the memory, and refuses what exceeds it as not run before it is read.

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -41,7 +41,8 @@
 [[nodiscard]] static pipelined_server_limits makeServerLimits(std::size_t memoryMiB)
 {
     pipelined_server_limits limits;
-    limits.maxBufferedBytes = memoryMiB * bytesPerMiB * 3 / 8;
+    limits.maxBufferedBytes = memoryMiB * bytesPerMiB / 2;
+    limits.maxKeptBodyBytes = maxForwardedBytes;
     return limits;
 }
 
@@ -231,10 +232,11 @@
 void gateway_runtime::perform(start_exchange& action)
 {
     const std::uint64_t id = action.id;
+    const std::string address = action.address;
+    const std::string requestId = action.requestId;
     const std::uint64_t exchange = m_upstream.start(
-        action.address, m_boundary.makeUpstreamRequest(action),
-        [this, requestId = action.requestId](
-            const opaque_response& response) { return m_boundary.relate(requestId, response); },
+        address, m_boundary.makeUpstreamRequest(std::move(action)),
+        [this, requestId](const opaque_response& response) { return m_boundary.relate(requestId, response); },
         [this, id](exchange_outcome outcome) {
             m_exchangeIds.erase(id);
             exchange_ended event;
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -27,7 +27,7 @@
     /** @brief Converts a client request; returns the answer instead if it cannot be forwarded. */
     std::function<std::variant<client_request, opaque_response>(request_handle, opaque_request)> readRequest;
     /** @brief Builds the request to be sent to the upstream. */
-    std::function<opaque_request(const start_exchange&)> makeUpstreamRequest;
+    std::function<opaque_request(start_exchange)> makeUpstreamRequest;
     /** @brief Returns how an upstream response relates to the request with an identifier. */
     std::function<response_relation(const std::string&, const opaque_response&)> relate;
     /** @brief Converts a response from the upstream. */
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace knapweedcroft {
 
@@ -109,6 +110,8 @@
 std::vector<upstream_candidate> origin_requests::candidatesFor(const origin_request& request, time_point now) const
 {
     std::vector<upstream_candidate> candidates;
+    if (request.isBodyHandedOver)
+        return candidates;
     for (const known_node* known : m_directory.nodesOfService(request.service)) {
         const node_name& node = known->record.node;
         const bool isReachable = known->isLinked && !known->isSuspected && known->isServing && known->status.has_value()
@@ -188,7 +191,16 @@
     message.hasAlternative = hasAlternative;
     message.deadline = request.deadline - now;
     message.target = entry.targetLatency - (now - request.arrival);
-    message.request = request.request;
+    if (request.request.body.size() > maxForwardedBytes) {
+        // Only this node can run it, so the body need not be kept for another one.
+        request.digest = request.digest.value_or(digestOf(m_settings.service, request.request));
+        request.isBodyHandedOver = true;
+        std::string body = std::exchange(request.request.body, {});
+        message.request = request.request;
+        message.request.body = std::move(body);
+    } else {
+        message.request = request.request;
+    }
     actions.emplace_back(send_to_peer { target.node, std::move(message) });
 }
 
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -118,6 +118,7 @@
         std::string requestId;
         opaque_request request;
         std::optional<std::uint64_t> digest; /*!< Of the content; set when it is first needed. */
+        bool isBodyHandedOver = false; /*!< The body was not kept, so the request cannot be sent again. */
         time_point arrival;
         time_point clientDeadline; /*!< Time at which the client stops waiting. */
         time_point deadline; /*!< Earlier of the client deadline and the timeout of the entry. */
--- a/src/knapweedcroft/http/exchange_client.cpp
+++ b/src/knapweedcroft/http/exchange_client.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace knapweedcroft {
@@ -42,8 +43,8 @@
     [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_bufferedBytes; }
     [[nodiscard]] completion_handler takeCompletionHandler() { return std::move(m_onDone); }
 
-    void begin(std::uint64_t exchangeId, const opaque_request& request, response_classifier classify,
-        completion_handler onDone)
+    void begin(
+        std::uint64_t exchangeId, opaque_request request, response_classifier classify, completion_handler onDone)
     {
         m_exchangeId = exchangeId;
         m_classify = std::move(classify);
@@ -52,12 +53,11 @@
         m_mismatchedResponses = 0;
         m_parser = std::make_unique<response_parser>(m_client.m_settings.limits, m_isHead);
         m_timer.stop();
-        const std::string text = serialize(request);
         m_hasWritten = false;
         if (m_isConnected)
-            send(text);
+            send(std::move(request));
         else
-            connectAndSend(text);
+            connectAndSend(std::move(request));
     }
 
     void failOversized(std::string message)
@@ -88,7 +88,7 @@
     }
 
 private:
-    void connectAndSend(const std::string& text)
+    void connectAndSend(opaque_request request)
     {
         sockaddr_storage target {};
         int size = sizeof(target);
@@ -98,7 +98,7 @@
             return;
         }
         bufferevent_setcb(m_stream.get(), &connection::onRead, &connection::onWritten, &connection::onEvent, this);
-        bufferevent_write(m_stream.get(), text.data(), text.size());
+        write(std::move(request));
         bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
         m_timer.start(m_client.m_settings.connectTimeout);
         if (bufferevent_socket_connect(m_stream.get(), reinterpret_cast<sockaddr*>(&target), size) != 0 && !m_isClosed)
@@ -106,14 +106,32 @@
                 "cannot connect to " + m_address + "; check that the server is listening");
     }
 
-    void send(const std::string& text)
+    void send(opaque_request request)
     {
         m_hasWritten = true;
-        bufferevent_write(m_stream.get(), text.data(), text.size());
+        write(std::move(request));
         bufferevent_enable(m_stream.get(), EV_WRITE);
         internal::writeNowAndNotify(m_stream.get());
     }
 
+    // A large body is handed over to the output buffer without a copy.
+    void write(opaque_request request)
+    {
+        constexpr std::size_t maxCopiedBytes = std::size_t { 64 } * 1024;
+        std::string text = serializeHead(request);
+        const bool isCopied = request.body.size() <= maxCopiedBytes;
+        if (isCopied)
+            text.append(request.body);
+        bufferevent_write(m_stream.get(), text.data(), text.size());
+        if (isCopied)
+            return;
+        std::string* body = std::make_unique<std::string>(std::move(request.body)).release();
+        const auto release = [](const void*, std::size_t, void* owned) {
+            std::unique_ptr<std::string> { static_cast<std::string*>(owned) };
+        };
+        evbuffer_add_reference(bufferevent_get_output(m_stream.get()), body->data(), body->size(), release, body);
+    }
+
     void failDeferred(error_kind kind, std::string message)
     {
         m_isClosed = true;
@@ -311,7 +329,7 @@
 }
 
 std::uint64_t exchange_client::start(
-    const std::string& address, const opaque_request& request, response_classifier classify, completion_handler onDone)
+    const std::string& address, opaque_request request, response_classifier classify, completion_handler onDone)
 {
     std::unique_ptr<connection> selected = acquireIdle(address);
     if (!selected)
@@ -319,7 +337,7 @@
     connection& target = *selected;
     const std::uint64_t exchangeId = ++m_lastExchangeId;
     m_active.emplace(exchangeId, std::move(selected));
-    target.begin(exchangeId, request, std::move(classify), std::move(onDone));
+    target.begin(exchangeId, std::move(request), std::move(classify), std::move(onDone));
     return exchangeId;
 }
 
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -87,8 +87,8 @@
      * @param onDone Receives the outcome, unless the exchange is cancelled.
      * @return Identifier of the exchange; never reused.
      */
-    std::uint64_t start(const std::string& address, const opaque_request& request, response_classifier classify,
-        completion_handler onDone);
+    std::uint64_t start(
+        const std::string& address, opaque_request request, response_classifier classify, completion_handler onDone);
 
     /**
      * @brief Cancels an exchange: closes its connection and drops its completion handler.
--- a/src/knapweedcroft/http/message.cpp
+++ b/src/knapweedcroft/http/message.cpp
@@ -66,10 +66,12 @@
     return kept;
 }
 
-std::string serialize(const opaque_request& request)
+std::string serialize(const opaque_request& request) { return serializeHead(request).append(request.body); }
+
+std::string serializeHead(const opaque_request& request)
 {
     std::string text;
-    text.reserve(request.body.size() + 512);
+    text.reserve(512);
     text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     for (const std::pair<std::string, std::string>& header : request.headers) {
         if (!internal::isContentLength(header.first))
@@ -78,7 +80,7 @@
     const bool isUsuallyBodyless = request.method == "GET" || request.method == "HEAD" || request.method == "DELETE";
     if (!request.body.empty() || !isUsuallyBodyless)
         internal::appendHeader(text, "Content-Length", std::to_string(request.body.size()));
-    text.append("\r\n").append(request.body);
+    text.append("\r\n");
     return text;
 }
 
--- a/src/knapweedcroft/http/message.hpp
+++ b/src/knapweedcroft/http/message.hpp
@@ -66,6 +66,9 @@
  */
 [[nodiscard]] std::string serialize(const opaque_request& request);
 
+/** @brief Serializes a request without its body, in the same way. */
+[[nodiscard]] std::string serializeHead(const opaque_request& request);
+
 /**
  * @brief Serializes a response.
  * @param response The response.
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -10,6 +10,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -95,6 +96,8 @@
             }
             if (m_parser->isHeaderDone())
                 onHeader();
+            if (!reserveBody())
+                return;
             if (m_parser->isDone())
                 dispatchRequest();
             else if (consumed == 0)
@@ -123,6 +126,22 @@
             write("HTTP/1.1 100 Continue\r\n\r\n");
     }
 
+    // Counts the body of the request that is being read, and refuses the request if too much is held with it.
+    [[nodiscard]] bool reserveBody()
+    {
+        if (!m_parser->isHeaderDone())
+            return true;
+        const std::size_t bodyBytes = std::max(m_parser->announcedBodySize(), m_parser->bodySize());
+        const std::size_t copies = bodyBytes <= m_server.m_limits.maxKeptBodyBytes ? 2 : 1;
+        subtractBufferedBytes(m_reservedBytes);
+        m_reservedBytes = bodyBytes * copies;
+        addBufferedBytes(m_reservedBytes);
+        if (m_server.m_bufferedBytes <= m_server.m_limits.maxBufferedBytes)
+            return true;
+        reject(parse_error { 503, "too much is held; send it again later" });
+        return false;
+    }
+
     void dispatchRequest()
     {
         pipelined_request entry;
@@ -130,25 +149,19 @@
         entry.isKeepAlive = m_parser->isKeepAlive();
         opaque_request request = m_parser->take();
         entry.method = request.method;
-        entry.requestBytes = request.body.size();
+        entry.requestBytes = std::exchange(m_reservedBytes, 0);
         m_parser.reset();
         m_isReading = false;
         m_hasStoppedReading = !entry.isKeepAlive;
-        addBufferedBytes(entry.requestBytes);
         const std::uint64_t requestId = entry.id;
         m_pipeline.push_back(std::move(entry));
         m_server.m_pending.emplace(requestId, this);
-        if (m_server.m_bufferedBytes > m_server.m_limits.maxBufferedBytes) {
-            answer(requestId,
-                m_server.m_handlers.makeErrorResponse(parse_error { 503, "too much is held; send it again later" }),
-                true);
-            return;
-        }
         m_server.m_handlers.onRequest(requestId, std::move(request));
     }
 
     void reject(const parse_error& fault)
     {
+        subtractBufferedBytes(std::exchange(m_reservedBytes, 0));
         m_timer.stop();
         m_parser.reset();
         m_isReading = false;
@@ -284,6 +297,7 @@
     std::deque<pipelined_request> m_pipeline;
     std::vector<std::size_t> m_unflushedSizes;
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_reservedBytes = 0; /*!< Part of it, for the request that is being read. */
     bool m_isReading = false;
     bool m_isHeaderDone = false;
     bool m_hasStoppedReading = false; /*!< No further requests are read from this connection. */
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -24,8 +24,11 @@
     milliseconds headerTime { 10'000 }; /*!< Longest time from the first to the last byte of a header section. */
     milliseconds idleTime { 60'000 }; /*!< Connections without a request are closed after this. */
     std::size_t maxPipelined = 256; /*!< Most unanswered requests per connection; reading pauses beyond it. */
-    /** @brief Bytes of requests and responses buffered over all connections; further requests are answered with 503. */
+    /** @brief Bytes of requests and responses buffered over all connections, also of those being read; further requests
+     * are answered with 503. */
     std::size_t maxBufferedBytes = std::size_t { 96 } * 1024 * 1024;
+    /** @brief Bodies of up to this size count twice, because a copy is kept to send them again. */
+    std::size_t maxKeptBodyBytes = 0;
 };
 
 /** @brief Callbacks of a server. */
