Count received bytes of a body, not announced ones

Cause: counted the length that a header announces, so two clients that announce 60 MB and send nothing would keep everyone else out.

Change: only received bytes count.

--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -10,7 +10,6 @@
 
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -131,7 +130,8 @@
     {
         if (!m_parser->isHeaderDone())
             return true;
-        const std::size_t bodyBytes = std::max(m_parser->announcedBodySize(), m_parser->bodySize());
+        // Received bytes only: a client that announces a body and doesn't send it must not keep others out.
+        const std::size_t bodyBytes = m_parser->bodySize();
         const std::size_t copies = bodyBytes <= m_server.m_limits.maxKeptBodyBytes ? 2 : 1;
         subtractBufferedBytes(m_reservedBytes);
         m_reservedBytes = bodyBytes * copies;
--- a/src/knapweedcroft/http/request_parser.cpp
+++ b/src/knapweedcroft/http/request_parser.cpp
@@ -57,11 +57,6 @@
     return isHeaderDone() && hasToken({ value.data(), value.size() }, "100-continue");
 }
 
-std::size_t request_parser::announcedBodySize() const
-{
-    return static_cast<std::size_t>(m_implementation->parser.content_length().value_or(0));
-}
-
 std::size_t request_parser::bodySize() const { return m_implementation->parser.get().body().size(); }
 
 bool request_parser::isKeepAlive() const { return m_implementation->parser.keep_alive(); }
--- a/src/knapweedcroft/http/request_parser.hpp
+++ b/src/knapweedcroft/http/request_parser.hpp
@@ -46,9 +46,6 @@
     /** @brief Returns whether the client waits for `100 Continue` before it sends the body. */
     [[nodiscard]] bool isContinueExpected() const;
 
-    /** @brief Returns the length of the body that the header announces; 0 if it announces none. */
-    [[nodiscard]] std::size_t announcedBodySize() const;
-
     /** @brief Returns the number of body bytes received so far. */
     [[nodiscard]] std::size_t bodySize() const;
 
