Widen a product in the test of large requests

Cause: the linter refuses a multiplication in int that becomes a size. Change: the factor has the type of the result; the value is the same. Evidence: clang-tidy passes on the file.

--- a/test/platform/large_requests.cpp
+++ b/test/platform/large_requests.cpp
@@ -66,7 +66,8 @@
     event_loop m_loop;
     fake_store m_store { m_loop };
     pipelined_server m_upstream { m_loop,
-        { { 16 * 1024, 64 * bytesPerMiB }, milliseconds { 10'000 }, milliseconds { 10'000 }, 256, 1024 * bytesPerMiB },
+        { { std::size_t { 16 } * 1024, 64 * bytesPerMiB }, milliseconds { 10'000 }, milliseconds { 10'000 }, 256,
+            1024 * bytesPerMiB },
         { [this](std::uint64_t number, const opaque_request& request) { answer(number, request); },
             [](std::uint64_t) {},
             [](const parse_error& fault) {
