Set the digest of a request once, and report only the calls of a peer

Change: setDigest serves both places; a large request moves as a whole, since nothing but its digest is used afterwards; closed links name the calls of their peer only. Behaviour is the same.

--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -126,12 +126,17 @@
     return candidates;
 }
 
+void origin_requests::setDigest(origin_request& request) const
+{
+    if (!request.digest)
+        request.digest = digestOf(m_settings.service, request.request);
+}
+
 quarantine_status origin_requests::quarantineStatusOf(origin_request& request, time_point now) const
 {
     if (m_quarantine.empty())
         return {};
-    if (!request.digest)
-        request.digest = digestOf(m_settings.service, request.request);
+    setDigest(request);
     return m_quarantine.statusOf(*request.digest, now);
 }
 
@@ -193,11 +198,9 @@
     message.target = entry.targetLatency - (now - request.arrival);
     if (request.request.body.size() > maxForwardedBytes) {
         // Only this node can run it, so the body need not be kept for another one.
-        request.digest = request.digest.value_or(digestOf(m_settings.service, request.request));
+        setDigest(request);
         request.isBodyHandedOver = true;
-        std::string body = std::exchange(request.request.body, {});
-        message.request = request.request;
-        message.request.body = std::move(body);
+        message.request = std::move(request.request);
     } else {
         message.request = request.request;
     }
@@ -355,8 +358,10 @@
 void origin_requests::handleLinkLost(const link_closed& event, time_point now, gateway_actions& actions)
 {
     calls_lost lost { event.peer, {}, event.unwritten };
-    for (const std::pair<const std::uint64_t, origin_request>& item : m_requests)
-        lost.lost.emplace_back(item.first);
+    for (const std::pair<const std::uint64_t, origin_request>& item : m_requests) {
+        if (item.second.node == event.peer)
+            lost.lost.emplace_back(item.first);
+    }
     handleCallsLost(lost, now, actions);
 }
 
@@ -371,7 +376,7 @@
         if (position == m_requests.end() || position->second.node != event.peer)
             continue;
         const bool isUnwritten = unwritten.count(call) != 0;
-        m_upstreamSelector.recordEnd(event.peer, m_requests.at(id).entry->name, std::nullopt, now);
+        m_upstreamSelector.recordEnd(event.peer, position->second.entry->name, std::nullopt, now);
         if (isUnwritten)
             handleRefusal(
                 id, forward_refusal { refusal_reason::no_upstream, internal::defaultRetryAfter, false }, now, actions);
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -118,7 +118,7 @@
         std::string requestId;
         opaque_request request;
         std::optional<std::uint64_t> digest; /*!< Of the content; set when it is first needed. */
-        bool isBodyHandedOver = false; /*!< The body was not kept, so the request cannot be sent again. */
+        bool isBodyHandedOver = false; /*!< `request` was not kept, so it cannot be sent again. */
         time_point arrival;
         time_point clientDeadline; /*!< Time at which the client stops waiting. */
         time_point deadline; /*!< Earlier of the client deadline and the timeout of the entry. */
@@ -136,6 +136,7 @@
     void send(std::uint64_t id, const upstream_candidate& target, bool hasAlternative, time_point now,
         gateway_actions& actions);
     [[nodiscard]] std::vector<upstream_candidate> candidatesFor(const origin_request& request, time_point now) const;
+    void setDigest(origin_request& request) const;
     [[nodiscard]] quarantine_status quarantineStatusOf(origin_request& request, time_point now) const;
     [[nodiscard]] bool isPastProcessEnd(const origin_request& request, time_point now) const;
     [[nodiscard]] bool spendRetry(const origin_request& request, time_point now);
--- a/src/knapweedcroft/node/origin_calls.cpp
+++ b/src/knapweedcroft/node/origin_calls.cpp
@@ -421,8 +421,10 @@
 void origin_calls::handleLinkClosed(const link_closed& event, time_point now, node_actions& actions)
 {
     calls_lost lost { event.peer, {}, event.unwritten };
-    for (const auto& item : m_attempts)
-        lost.lost.push_back(item.first);
+    for (const auto& item : m_attempts) {
+        if (m_calls.at(item.second).current->target == event.peer)
+            lost.lost.push_back(item.first);
+    }
     handleCallsLost(lost, now, actions);
 }
 
