--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 6 to 10 into target/review-2. Run it after the build of the deploy file, whose
+# libraries it links.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+flags="$(pkg-config --cflags --libs libevent log4cplus libxxhash) -lpthread"
+for source in review/{6,7,8,9,10}/case.cpp; do
+    [ -f "$source" ] || continue
+    name="$(basename "$(dirname "$source")")"
+    g++ -std=c++17 -O1 -Wall -Wextra -Isrc -Iplatform "$source" -o "target/review-2/case-$name" \
+        target/platform/libknapweed-platform.a target/libknapweedcroft.a $flags &
+done
+for job in $(jobs -p); do wait "$job"; done
