Review: forwarded request bodies exceed the memory of the node beside an upstream

Fault: while the backends read slowly, uploads of 14 MiB that other nodes forward pile up at the node beside the upstream. It exceeds MemoryMb (260 MiB) in each of four waves, at both nodes of the service, and the platform kills it with all requests that it holds.

The check of the memory moves to the stand-ins.

--- a/review/harness-2/stand_ins.hpp
+++ b/review/harness-2/stand_ins.hpp
@@ -22,6 +22,7 @@
 #include <functional>
 #include <iomanip>
 #include <iostream>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -346,6 +347,7 @@
         m_record.write("backend " + m_id + ": ends");
     }
 
+    std::size_t responseBytes = 0; /*!< Size of its response bodies; 0 for a short text. */
     std::vector<backend_arrival> arrivals;
     std::optional<milliseconds> acknowledgedAt; /*!< When its leave was acknowledged. */
 
@@ -384,7 +386,7 @@
         m_server->answer(number,
             opaque_response { 200,
                 { { "X-Request-Id", requestId }, { "X-Response-Signature", m_id + "." + requestId } },
-                "result of " + requestId });
+                responseBytes > 0 ? std::string(responseBytes, 'x') : "result of " + requestId });
     }
 
     event_loop& m_loop;
@@ -607,6 +609,62 @@
     std::uint64_t m_lastRequest = 0;
 };
 
+/** @brief Kills, as the platform does, each process with more memory than `MemoryMb`, and starts it again. */
+class memory_watch {
+public:
+    static constexpr std::size_t limit = std::size_t { 260 } * 1024 * 1024; // `MemoryMb` of the site.
+
+    explicit memory_watch(deployment& played)
+        : m_played { played }
+    {
+        check();
+    }
+
+    /** @brief Records the greatest memory of each machine; returns the machines that were killed three times or more. */
+    [[nodiscard]] std::size_t report()
+    {
+        std::size_t count = 0;
+        for (const std::unique_ptr<machine>& host : m_played.machines) {
+            m_played.record.write("check: " + host->name + ": at most " + std::to_string(m_peaks[host->name] / 1024 / 1024)
+                + " MiB, killed for its memory " + std::to_string(m_kills[host->name]) + " times");
+            count += m_kills[host->name] >= 3 ? 1U : 0U;
+        }
+        return count;
+    }
+
+private:
+    [[nodiscard]] static std::size_t residentBytes(pid_t process)
+    {
+        std::ifstream file { "/proc/" + std::to_string(process) + "/statm" };
+        std::size_t size = 0;
+        std::size_t resident = 0;
+        file >> size >> resident;
+        return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    }
+
+    void check()
+    {
+        for (const std::unique_ptr<machine>& host : m_played.machines) {
+            if (!m_played.isRunning(*host))
+                continue;
+            const std::size_t resident = residentBytes(host->process);
+            m_peaks[host->name] = std::max(m_peaks[host->name], resident);
+            if (resident <= limit)
+                continue;
+            m_played.record.write("platform: " + host->name + " holds " + std::to_string(resident / 1024 / 1024)
+                + " MiB of memory, more than MemoryMb");
+            ++m_kills[host->name];
+            m_played.kill(*host);
+            m_played.after(milliseconds { 500 }, [this, target = host.get()] { m_played.start(*target); });
+        }
+        m_played.after(milliseconds { 10 }, [this] { check(); });
+    }
+
+    deployment& m_played;
+    std::map<std::string, std::size_t> m_peaks;
+    std::map<std::string, std::size_t> m_kills;
+};
+
 [[nodiscard]] inline nlohmann::json makeRoute(
     const std::string& name, const std::string& prefix, const std::string& service, const std::string& kind)
 {
