--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -12,8 +12,10 @@
     backend_stand_in leaving { played.loop, played.record, first, "i-1a" };
     backend_stand_in staying { played.loop, played.record, second, "i-2a" };
     backend_stand_in other { played.loop, played.record, third, "i-3a" };
+    for (backend_stand_in* backend : { &leaving, &staying, &other })
+        backend->onArrival = [](const backend_arrival&, const opaque_request&) { return milliseconds { 300 }; };
     played.writeConfiguration(1,
-        nlohmann::json::array({ makeRoute("history", "/history/", "logbook", "safe"),
+        nlohmann::json::array({ makeRoute("file", "/file/", "logbook", "unsafe"),
             makeRoute("lookup", "/lookup/", "registry", "safe") }));
     for (const std::unique_ptr<machine>& host : played.machines)
         played.start(*host);
@@ -30,7 +32,7 @@
             return;
         for (const std::unique_ptr<machine>& host : played.machines) {
             if (host->process > 0)
-                played.sendGet(*host, "/history/7");
+                played.send(*host, "POST", "/file/7");
         }
         played.after(milliseconds { 100 }, sendAll);
     };
--- a/review/harness-2/drain_check.hpp
+++ b/review/harness-2/drain_check.hpp
@@ -19,6 +19,7 @@
     if (!leaving.acknowledgedAt)
         return 0;
     std::size_t late = 0;
+    std::size_t lost = 0;
     for (const backend_arrival& arrival : leaving.arrivals) {
         const auto position = played.calls.find(arrival.requestId);
         if (!arrival.isRun || position == played.calls.end())
@@ -38,8 +39,10 @@
                 + " " + std::to_string((arrival.at - *leaving.acknowledgedAt).whole())
                 + " ms after the acknowledgement; both machines were in touch");
         ++late;
+        lost += call.status == 200 ? 0U : 1U;
     }
-    played.record.write("check: " + std::to_string(late) + " requests reached the backend later than Drain");
+    played.record.write("check: " + std::to_string(late) + " requests reached the backend later than Drain, and "
+        + std::to_string(lost) + " of them failed");
     return late;
 }
 
--- /dev/null
+++ b/review/harness-2/kept_connection.hpp
@@ -0,0 +1,112 @@
+#ifndef KNAPWEEDCROFT_REVIEW_KEPT_CONNECTION_HPP
+#define KNAPWEEDCROFT_REVIEW_KEPT_CONNECTION_HPP
+
+#include "stand_ins.hpp"
+
+#include <event2/util.h>
+
+#include <sys/socket.h>
+
+namespace knapweedcroft::review {
+
+/** @brief Client that sends one request after the other on a kept connection and reads at a limited speed. */
+class kept_connection {
+public:
+    kept_connection(event_loop& loop, run_record& record, const machine& host, std::string name)
+        : m_record { record }
+        , m_name { std::move(name) }
+        , m_turn { loop, [this] { turn(); } }
+    {
+        sockaddr_storage target {};
+        int size = sizeof(target);
+        evutil_parse_sockaddr_port(host.outbound().c_str(), reinterpret_cast<sockaddr*>(&target), &size);
+        m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (connect(m_socket, reinterpret_cast<sockaddr*>(&target), static_cast<socklen_t>(size)) != 0)
+            throw std::runtime_error { "cannot connect to " + host.outbound() };
+    }
+    kept_connection(const kept_connection&) = delete;
+    kept_connection& operator=(const kept_connection&) = delete;
+    ~kept_connection() { close(m_socket); }
+
+    /**
+     * @brief Sends a GET.
+     * @param bytesPerTurn Bytes of the answer that it reads in 20 ms.
+     */
+    void send(const std::string& path, std::int64_t deadlineMs, std::size_t bytesPerTurn)
+    {
+        m_requestId = m_name + "-" + std::to_string(++m_requests);
+        m_bytesPerTurn = bytesPerTurn;
+        m_head.clear();
+        m_expected = 0;
+        m_received = 0;
+        isAnswered = false;
+        const std::string request = "GET " + path + " HTTP/1.1\r\nHost: harbour.example\r\nX-Request-Id: " + m_requestId
+            + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n\r\n";
+        const ssize_t written = ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
+        m_record.write("client " + m_name + ": sends " + m_requestId + " GET " + path
+            + (written == static_cast<ssize_t>(request.size()) ? "" : ", which fails"));
+        m_turn.start(milliseconds { 20 });
+    }
+
+    bool isAnswered = false; /*!< The latest request has got a whole answer. */
+    bool isClosed = false; /*!< The server has closed the connection. */
+
+private:
+    void turn()
+    {
+        std::vector<char> buffer(64 * 1024);
+        std::size_t left = m_bytesPerTurn;
+        while (left > 0 && !isAnswered && !isClosed) {
+            const ssize_t count = recv(m_socket, buffer.data(), std::min(left, buffer.size()), MSG_DONTWAIT);
+            if (count < 0 && (errno == EAGAIN || errno == EINTR))
+                break;
+            if (count <= 0) {
+                isClosed = true;
+                m_record.write("client " + m_name + ": the connection ends after " + std::to_string(m_received) + " of "
+                    + std::to_string(m_expected) + " bytes of the answer to " + m_requestId);
+                return;
+            }
+            left -= static_cast<std::size_t>(count);
+            receive({ buffer.data(), static_cast<std::size_t>(count) });
+        }
+        if (!isAnswered)
+            m_turn.start(milliseconds { 20 });
+    }
+
+    void receive(std::string_view bytes)
+    {
+        if (m_expected > 0) {
+            m_received += bytes.size();
+        } else {
+            m_head.append(bytes);
+            const std::size_t end = m_head.find("\r\n\r\n");
+            const std::size_t length = m_head.find("Content-Length: ");
+            if (end == std::string::npos || length == std::string::npos)
+                return;
+            m_expected = std::stoul(m_head.substr(length + 16));
+            m_received = m_head.size() - end - 4;
+            m_head.resize(end);
+            m_record.write("client " + m_name + ": the answer to " + m_requestId + " begins: " + m_head.substr(9, 3) + ", "
+                + std::to_string(m_expected) + " bytes");
+        }
+        if (m_received < m_expected)
+            return;
+        isAnswered = true;
+        m_record.write("client " + m_name + ": has the whole answer to " + m_requestId);
+    }
+
+    run_record& m_record;
+    std::string m_name;
+    loop_timer m_turn;
+    int m_socket = -1;
+    std::string m_requestId;
+    std::string m_head;
+    std::size_t m_expected = 0;
+    std::size_t m_received = 0;
+    std::size_t m_bytesPerTurn = 0;
+    std::size_t m_requests = 0;
+};
+
+} // namespace knapweedcroft::review
+
+#endif
--- a/review/harness-2/stand_ins.hpp
+++ b/review/harness-2/stand_ins.hpp
@@ -411,6 +411,28 @@
     int status = 0; /*!< 0 if no complete answer came. */
 };
 
+// Processes that run, for the handler of the signals that end the case early.
+inline volatile std::sig_atomic_t runningProcesses[64] = {};
+
+inline void setRunning(pid_t before, pid_t now)
+{
+    for (volatile std::sig_atomic_t& slot : runningProcesses) {
+        if (slot != before)
+            continue;
+        slot = now;
+        return;
+    }
+}
+
+extern "C" inline void endProcesses(int)
+{
+    for (const volatile std::sig_atomic_t& slot : runningProcesses) {
+        if (slot > 0)
+            ::kill(slot, SIGKILL);
+    }
+    _exit(2);
+}
+
 /** @brief A deployment with its platform, machines and clients. */
 class deployment {
 public:
@@ -482,6 +504,7 @@
         posix_spawn_file_actions_destroy(&actions);
         if (code != 0)
             throw std::runtime_error { "cannot start " + program };
+        setRunning(0, host.process);
         host.disturbedAt = record.now();
         record.write("platform: starts " + host.name);
     }
@@ -492,6 +515,7 @@
             return;
         ::kill(host.process, SIGKILL);
         waitpid(host.process, nullptr, 0);
+        setRunning(host.process, 0);
         host.process = -1;
         host.disturbedAt = record.now();
         if (!isQuiet)
@@ -512,6 +536,7 @@
         int status = 0;
         if (waitpid(host.process, &status, WNOHANG) != host.process)
             return true;
+        setRunning(host.process, 0);
         record.write("platform: " + host.name + " has ended, "
             + (WIFEXITED(status) ? "status " + std::to_string(WEXITSTATUS(status))
                                  : "signal " + std::to_string(WTERMSIG(status))));
@@ -545,17 +570,17 @@
         loop.runUntil([] { return false; }, delay);
     }
 
-    /** @brief Sends a GET of a client on a machine and records its end. */
-    void sendGet(const machine& host, const std::string& path)
+    /** @brief Sends a request of a client on a machine and records its end. */
+    void send(const machine& host, const std::string& method, const std::string& path)
     {
         const std::string id = "r" + std::to_string(++m_lastRequest);
         opaque_request request;
-        request.method = "GET";
+        request.method = method;
         request.target = path;
         request.headers
             = { { "Host", "harbour.example" }, { "X-Request-Id", id }, { "X-Deadline-Ms", std::to_string(1500) } };
         calls[id] = { host.name, path, record.now(), std::nullopt, 0 };
-        record.write("client on " + host.name + ": sends " + id + " GET " + path);
+        record.write("client on " + host.name + ": sends " + id + " " + method + " " + path);
         m_clients.start(
             host.outbound(), request, [](const opaque_response&) { return response_relation::answer; },
             [this, id](const exchange_outcome& outcome) {
@@ -685,6 +710,8 @@
         std::cerr << "usage: CASE REPOSITORY RECORD\n";
         return 2;
     }
+    std::signal(SIGTERM, &endProcesses);
+    std::signal(SIGINT, &endProcesses);
     try {
         deployment played { values[2], values[1] };
         const int outcome = play(played);
