Review: answers that are still being written are closed as idle connections

LOST is broken at a planned stop: 2.3 s after SIGTERM, closeIdle closes connections whose answers are still in the output buffer, though the clients would have them within Grace. The idle timer does the same in calm operation.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,10 +5,14 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 flags="$(pkg-config --cflags --libs libevent log4cplus libxxhash) -lpthread"
-for source in review/{6,7,8,9,10}/case.cpp; do
+jobs=()
+for source in review/{6,7,8,9,10}/case.cpp review/9/idle/case.cpp; do
     [ -f "$source" ] || continue
-    name="$(basename "$(dirname "$source")")"
-    g++ -std=c++17 -O1 -Wall -Wextra -Isrc -Iplatform "$source" -o "target/review-2/case-$name" \
+    folder="$(dirname "$source")"
+    name="${folder#review/}"
+    # shellcheck disable=SC2086 # The flags are words.
+    g++ -std=c++17 -O1 -Wall -Wextra -Isrc -Iplatform "$source" -o "target/review-2/case-${name//\//-}" \
         target/platform/libknapweed-platform.a target/libknapweedcroft.a $flags &
+    jobs+=($!)
 done
-for job in $(jobs -p); do wait "$job"; done
+for job in "${jobs[@]}"; do wait "$job"; done
