Withhold the start of a last chunk from Beast's parser

Cause: once Beast has read the size of the last chunk, it asserts that it is called with at least five bytes. Both parsers passed it whatever was left, three or four bytes in this case.

Fewer than five bytes of a chunked body now wait. What is left of an unfinished chunked body always has five or more, so nothing waits forever. No other code uses Beast.

The new parser tests ended with the same assertion before the fix.

--- a/src/knapweedcroft/http/internal/framing.hpp
+++ b/src/knapweedcroft/http/internal/framing.hpp
@@ -62,6 +62,20 @@
     return unreadBytes > limits.maxHeaderBytes;
 }
 
+/**
+ * @brief Checks whether bytes may be passed to Beast's parser.
+ *
+ * The end of a chunked body, its last chunk and the empty line, has five bytes or more. Once Beast has read the size of
+ * the last chunk it asserts that it is called with as many, so fewer bytes wait until more of them have arrived.
+ * @param parser Beast's parser.
+ * @param size Number of bytes that are not consumed yet.
+ */
+template <typename Parser> [[nodiscard]] bool canParse(const Parser& parser, std::size_t size)
+{
+    constexpr std::size_t minChunkedEnd = 5;
+    return !parser.is_header_done() || !parser.chunked() || size >= minChunkedEnd;
+}
+
 /** @brief Converts Beast's header fields to names and values, in order. */
 [[nodiscard]] http_headers copyHeaders(const boost::beast::http::fields& fields);
 
--- a/src/knapweedcroft/http/request_parser.cpp
+++ b/src/knapweedcroft/http/request_parser.cpp
@@ -35,6 +35,8 @@
     implementation& self = *m_implementation;
     if (!self.headerValidator.validate(bytes, self.limits, m_fault))
         return 0;
+    if (!internal::canParse(self.parser, bytes.size()))
+        return 0;
     boost::system::error_code parseResult;
     const std::size_t consumed = self.parser.put(boost::asio::buffer(bytes.data(), bytes.size()), parseResult);
     if (parseResult == http::error::body_limit)
--- a/src/knapweedcroft/http/response_parser.cpp
+++ b/src/knapweedcroft/http/response_parser.cpp
@@ -46,6 +46,8 @@
             && (m_fault->status == internal::headerFieldsTooLarge || m_fault->status == internal::contentTooLarge);
         return 0;
     }
+    if (!internal::canParse(m_implementation->parser, bytes.size()))
+        return 0;
     boost::system::error_code parseResult;
     const std::size_t consumed
         = m_implementation->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), parseResult);
--- /dev/null
+++ b/test/knapweedcroft/http/parser_input.hpp
@@ -0,0 +1,35 @@
+#ifndef KNAPWEEDCROFT_TEST_HTTP_PARSER_INPUT_HPP
+#define KNAPWEEDCROFT_TEST_HTTP_PARSER_INPUT_HPP
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace knapweedcroft {
+
+/** @brief Chunked bodies that end with a last chunk: empty ones, with a chunk before it, with an extension or a
+ * trailer.
+ */
+inline const std::vector<std::string>& chunkedBodies()
+{
+    static const std::vector<std::string> bodies { "0\r\n\r\n", "000\r\n\r\n", "0;a=b\r\n\r\n", "0\r\nX-Sum: 1\r\n\r\n",
+        "2\r\nab\r\n0\r\n\r\n", "1\r\na\r\n1\r\nb\r\n0\r\n\r\n" };
+    return bodies;
+}
+
+/** @brief Passes packets to a parser as the server and the client do: until it takes no more of what has arrived. */
+template <typename Parser> void feed(Parser& parser, const std::vector<std::string>& packets)
+{
+    std::string pending;
+    for (const std::string& packet : packets) {
+        pending += packet;
+        for (std::size_t used = 1; used > 0 && !pending.empty() && !parser.fault() && !parser.isDone();) {
+            used = parser.put(pending);
+            pending.erase(0, used);
+        }
+    }
+}
+
+} // namespace knapweedcroft
+
+#endif
--- a/test/knapweedcroft/http/request_parser.cpp
+++ b/test/knapweedcroft/http/request_parser.cpp
@@ -1,5 +1,7 @@
 #include "knapweedcroft/http/request_parser.hpp"
 
+#include "parser_input.hpp"
+
 #include <gtest/gtest.h>
 
 #include <string>
@@ -80,6 +82,22 @@
     EXPECT_EQ(request.body, "abc");
 }
 
+// Guards against the end of the process: Beast asserts that the last chunk is not read again before its end has come.
+TEST(RequestParser, ReadsALastChunkThatArrivesInPieces)
+{
+    const std::string header = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& body : chunkedBodies()) {
+        const std::string text = header + body;
+        for (std::size_t first = header.size(); first < text.size(); ++first) {
+            for (std::size_t second = first; second < text.size(); ++second) {
+                request_parser parser { message_limits {} };
+                feed(parser, { text.substr(0, first), text.substr(first, second - first), text.substr(second) });
+                ASSERT_TRUE(parser.isDone()) << body << " cut at " << first << " and " << second;
+            }
+        }
+    }
+}
+
 TEST(RequestParser, BoundsHeaderAndBody)
 {
     message_limits limits;
