Acknowledge a leave only once the store holds it

Cause: 0.3 s after the leave, the word of a peer counted as that of the store. Peers hold a leave in memory only, so after the end of all processes the record in the store, which still said that the upstream serves, decided.

Now only the store's answer counts, and the upstream gets 503 after 0.9 s without it. A repeated leave waits for the write that is under way.

leave_test.IsAcknowledgedByTheStoreOnly failed before: the leave got 200 with the store away. It replaces CountsAPeerOnceTheStoreIsLate, which asked for the faulty rule. OutlivesAProcessThatDidNotKnowTheUpstream relied on the word of a peer and now runs with the store; the outage is in the new test.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -192,8 +192,7 @@
 
 void gateway_core::on(const record_stored&, gateway_actions&) { m_leaves.recordStored(); }
 
-// Acknowledges a leave once the store or the peers know of it, so that the next process of this node does not offer the
-// upstream. They are told again unless this has just been done.
+// Acknowledges a leave once the store holds it. A record that is pending is written until the store takes it.
 void gateway_core::awaitLeaveRecord(const std::string& upstream, bool isPublished, gateway_actions& actions)
 {
     const std::optional<upstream_announcement>& current = m_registry.current();
@@ -202,7 +201,9 @@
         actions.emplace_back(settle_leave { { upstream, true } });
         return;
     }
-    if (m_leaves.await(upstream, m_now) || isPublished)
+    const bool isPending = m_leaves.isPending(upstream);
+    const bool isRecorded = m_leaves.await(upstream, m_now);
+    if (isRecorded || isPending || isPublished)
         return;
     broadcast(makeStatus(), actions);
     // Without a current upstream, the record, if there is one, is that of an earlier process.
@@ -218,7 +219,7 @@
         if (!verdict.isAcknowledged)
             actions.emplace_back(internal::makeLogLine(log_level::warning, "leave_not_recorded",
                 { { "upstream", verdict.upstream },
-                    { "remedy", "let the upstream repeat it; neither the store nor a peer has confirmed it" } }));
+                    { "remedy", "let the upstream repeat it; the store has not confirmed it" } }));
         actions.emplace_back(settle_leave { verdict });
     }
 }
@@ -778,7 +779,6 @@
     m_served.handleReportedRate(message, m_now, actions);
     if (!message.isLeaving)
         return;
-    m_leaves.recordPeer(message.upstream);
     if (m_registry.leave(message.upstream, m_now, message.startedAt))
         publishUpstreamChange("upstream_left", actions);
 }
--- a/src/knapweedcroft/gateway/leave_acknowledgements.cpp
+++ b/src/knapweedcroft/gateway/leave_acknowledgements.cpp
@@ -7,8 +7,6 @@
 
 namespace internal {
 
-// The store normally answers within a few ms. All nodes may end together, so the peers count only if it does not.
-static constexpr milliseconds storeAnswerTime { 300 };
 // Upstreams wait for one second.
 static constexpr milliseconds maxWait { 900 };
 
@@ -32,13 +30,6 @@
         item.second.isStored = true;
 }
 
-void leave_acknowledgements::recordPeer(const std::string& upstream)
-{
-    const auto position = m_leaves.find(upstream);
-    if (position != m_leaves.end())
-        position->second.isKnownToPeer = true;
-}
-
 std::optional<std::string> leave_acknowledgements::unacknowledged() const
 {
     return m_leaves.empty() ? std::nullopt : std::optional { m_leaves.begin()->first };
@@ -50,8 +41,7 @@
     for (auto position = m_leaves.begin(); position != m_leaves.end();) {
         announced_leave& leave = position->second;
         const milliseconds waited = now - leave.since;
-        const bool isRecorded = m_acknowledged.contains(position->first) || leave.isStored
-            || (leave.isKnownToPeer && waited >= internal::storeAnswerTime);
+        const bool isRecorded = m_acknowledged.contains(position->first) || leave.isStored;
         if (!leave.isAwaited || (!isRecorded && waited < internal::maxWait)) {
             ++position;
             continue;
@@ -72,7 +62,7 @@
         const announced_leave& leave = item.second;
         if (!leave.isAwaited)
             continue;
-        const time_point due = leave.since + (leave.isKnownToPeer ? internal::storeAnswerTime : internal::maxWait);
+        const time_point due = leave.since + internal::maxWait;
         next = next ? std::min(*next, due) : due;
     }
     return next;
--- a/src/knapweedcroft/gateway/leave_acknowledgements.hpp
+++ b/src/knapweedcroft/gateway/leave_acknowledgements.hpp
@@ -26,8 +26,8 @@
 /**
  * @brief Decides when the leave of an upstream is acknowledged.
  *
- * An acknowledged leave binds the next process of this node, which knows only what the store and the peers know. So a
- * leave is acknowledged once the store holds it or, if the store does not answer in time, once a peer knows it.
+ * An acknowledged leave binds all later processes, and all processes may end at once. So a leave is acknowledged once
+ * the store holds it, and refused if the store does not answer in time.
  */
 class leave_acknowledgements {
 public:
@@ -37,12 +37,12 @@
      */
     bool await(const std::string& upstream, time_point now);
 
+    /** @brief Returns true if a leave has been announced and the store does not hold it yet. */
+    [[nodiscard]] bool isPending(const std::string& upstream) const { return m_leaves.count(upstream) != 0; }
+
     /** @brief Records that the store holds the latest record of this node. */
     void recordStored();
 
-    /** @brief Records that a peer knows the leave of an upstream. */
-    void recordPeer(const std::string& upstream);
-
     /** @brief Returns an upstream whose leave has been announced and not acknowledged, if there is one. */
     [[nodiscard]] std::optional<std::string> unacknowledged() const;
 
@@ -59,7 +59,6 @@
         bool isAwaited = false; /*!< The upstream waits for an answer. */
         time_point since; /*!< When it began to wait. */
         bool isStored = false;
-        bool isKnownToPeer = false;
     };
 
     std::map<std::string, announced_leave> m_leaves; /*!< By upstream; not acknowledged yet. */
