Keep the upstreams that have left in the directory record

Cause: the record said only that the upstream does not serve, which holds for a silent one as well, so the next process took the late heartbeat for the first word of a new upstream. The logs of the case show upstream_changed with the id that had left, right after the late heartbeat.

The record now lists the upstreams of the host that have left. Each process holds announcements back until it has read the directory, and a departed upstream serves no more, whatever arrives later. Three places that remembered leaves are one.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -19,6 +19,8 @@
 static constexpr milliseconds shareInterval { 100 };
 // The era rises by one with each copy of the store; a greater jump comes from a faulty peer.
 static constexpr std::uint64_t maxEraJump = 1000;
+// Announcements arrive about once per second, and the directory is read within seconds of the start.
+static constexpr std::size_t maxHeldAnnouncements = 64;
 
 [[nodiscard]] static write_log makeLogLine(
     log_level level, std::string event, std::vector<std::pair<std::string, std::string>> fields)
@@ -37,7 +39,8 @@
     : m_settings { settings }
     , m_peerAddress { std::move(peerAddress) }
     , m_incarnation { incarnation }
-    , m_registry { upstreamChart, settings.upstreamSilence }
+    , m_registry { upstreamChart, settings.upstreamSilence, m_departed }
+    , m_directory { m_departed }
     , m_table { std::make_shared<const entry_table>() }
     , m_served { settings, m_registry, m_quarantine }
     , m_origin { settings, m_directory, m_served, m_quarantine }
@@ -159,9 +162,28 @@
     broadcast(report, actions);
 }
 
+// Until the directory has been read, an announcement may be one that was delayed beyond a leave which only the
+// directory holds. So it is held back, unless it says that the upstream leaves.
 void gateway_core::on(const announcement_received& event, gateway_actions& actions)
 {
-    const upstream_announcement& announcement = event.announcement;
+    const bool isLeaving = event.announcement.state == upstream_state::draining;
+    if (m_isDirectoryRead || isLeaving)
+        processAnnouncement(event.announcement, actions);
+    else if (m_heldAnnouncements.size() < internal::maxHeldAnnouncements)
+        m_heldAnnouncements.push_back(event.announcement);
+}
+
+void gateway_core::setDirectoryRead(gateway_actions& actions)
+{
+    m_isDirectoryRead = true;
+    for (const upstream_announcement& announcement : std::exchange(m_heldAnnouncements, {}))
+        processAnnouncement(announcement, actions);
+    if (std::exchange(m_isRecordHeld, false))
+        publishRecord(actions);
+}
+
+void gateway_core::processAnnouncement(const upstream_announcement& announcement, gateway_actions& actions)
+{
     const std::string before = m_registry.current() ? m_registry.current()->incarnation.id : std::string {};
     const bool hadLeft = m_registry.state() == upstream_chart_state::draining;
     const announcement_result effect = m_registry.announce(announcement, m_now);
@@ -178,13 +200,19 @@
                 { "started_ms", std::to_string(announcement.incarnation.startedAt) },
                 { "sequence", std::to_string(announcement.sequence) },
                 { "reason", "older than the newest accepted announcement" } }));
-    if (announcement.state == upstream_state::draining)
-        awaitLeaveRecord(announcement.incarnation.id, effect == announcement_result::changed, actions);
+    if (announcement.state != upstream_state::draining)
+        return;
+    if (effect == announcement_result::stale)
+        m_registry.leave(announcement.incarnation.id, m_now, announcement.incarnation.startedAt);
+    awaitLeaveRecord(announcement.incarnation.id, effect == announcement_result::changed, actions);
 }
 
 void gateway_core::on(const leave_received& event, gateway_actions& actions)
 {
-    const bool isChange = m_registry.leave(event.upstream, m_now);
+    const std::optional<upstream_announcement>& current = m_registry.current();
+    const bool isKnown = current && current->incarnation.id == event.upstream;
+    const bool isChange = m_registry.leave(
+        event.upstream, m_now, isKnown ? std::nullopt : std::optional { m_wallNow.sinceEpoch().whole() });
     if (isChange)
         publishUpstreamChange("upstream_left", actions);
     awaitLeaveRecord(event.upstream, isChange, actions);
@@ -195,22 +223,12 @@
 // Acknowledges a leave once the store holds it. A record that is pending is written until the store takes it.
 void gateway_core::awaitLeaveRecord(const std::string& upstream, bool isPublished, gateway_actions& actions)
 {
-    const std::optional<upstream_announcement>& current = m_registry.current();
-    if (current && current->incarnation.id != upstream) {
-        // The record of this node names another upstream, so no process offers this one.
-        actions.emplace_back(settle_leave { { upstream, true } });
-        return;
-    }
     const bool isPending = m_leaves.isPending(upstream);
     const bool isRecorded = m_leaves.await(upstream, m_now);
     if (isRecorded || isPending || isPublished)
         return;
     broadcast(makeStatus(), actions);
-    // Without a current upstream, the record, if there is one, is that of an earlier process.
-    if (current)
-        actions.emplace_back(publish_record { makeRecord() });
-    else
-        actions.emplace_back(withdraw_record {});
+    publishRecord(actions);
 }
 
 void gateway_core::settleLeaves(gateway_actions& actions)
@@ -234,10 +252,19 @@
         { { "upstream", status.upstream }, { "started_ms", std::to_string(status.startedAt) },
             { "serving", status.isServing ? "true" : "false" }, { "slots", std::to_string(status.load.slots) } }));
     broadcast(status, actions);
-    if (!m_registry.current())
+    publishRecord(actions);
+}
+
+// The record of an earlier process may list upstreams that have left, so it is replaced only after it has been read.
+void gateway_core::publishRecord(gateway_actions& actions)
+{
+    m_isRecordHeld = !m_isDirectoryRead;
+    if (m_isRecordHeld)
         return;
     m_isRecordPublished = true;
-    actions.emplace_back(publish_record { makeRecord() });
+    const directory_record record = makeRecord();
+    m_directory.apply(record);
+    actions.emplace_back(publish_record { record });
 }
 
 void gateway_core::broadcast(const peer_message& message, gateway_actions& actions) const
@@ -274,7 +301,12 @@
     record.peerAddress = m_peerAddress;
     record.data_centre = m_settings.data_centre;
     record.writtenAt = m_wallNow.sinceEpoch().whole();
-    record.upstream = *m_registry.current();
+    record.storeEra = m_storeEra;
+    record.departed = m_registry.departures();
+    record.isWithdrawn = m_isStopping && !m_registry.isServing();
+    if (m_registry.current())
+        record.upstream = *m_registry.current();
+    record.upstream.address = m_settings.upstreamAddress;
     record.upstream.service = m_settings.service;
     record.upstream.state = m_registry.isServing() ? upstream_state::serving : upstream_state::draining;
     return record;
@@ -356,7 +388,8 @@
     for (const directory_record& record : event.records)
         applyRecord(record, actions);
     removeWithdrawn(event.withdrawn, actions);
-    m_isDirectoryRead = m_isDirectoryRead || event.isComplete;
+    if (m_isDirectoryRead || event.isComplete)
+        setDirectoryRead(actions);
     m_isLinkPlanOutdated = true;
     checkOwnRecord(event, actions);
     const std::int64_t offsetBefore = std::exchange(m_directoryOffset, std::max(m_directoryOffset, event.offset));
@@ -386,20 +419,20 @@
 // After the store came back from an older copy, the record of this node may be missing or outdated there.
 void gateway_core::checkOwnRecord(const directory_read& event, gateway_actions& actions)
 {
-    if (m_isOwnRecordInStore || !m_isRecordPublished || !m_registry.current())
+    if (m_isOwnRecordInStore || !m_isRecordPublished)
         return;
     const directory_record own = makeRecord();
     const bool isFound
         = std::any_of(event.records.begin(), event.records.end(), [&own](const directory_record& record) {
               return record.node == own.node && record.peerAddress == own.peerAddress
                   && record.upstream.incarnation == own.upstream.incarnation
-                  && record.upstream.state == own.upstream.state;
+                  && record.upstream.state == own.upstream.state && record.departed == own.departed;
           });
     m_isOwnRecordInStore = isFound;
     if (isFound || !event.isComplete)
         return;
     m_isOwnRecordInStore = true;
-    actions.emplace_back(publish_record { own });
+    publishRecord(actions);
     actions.emplace_back(internal::makeLogLine(log_level::info, "own_record_lost",
         { { "era", std::to_string(m_storeEra) }, { "upstream", own.upstream.incarnation.id } }));
 }
@@ -407,11 +440,15 @@
 void gateway_core::applyRecord(const directory_record& record, gateway_actions& actions)
 {
     if (record.node == m_settings.node) {
-        restoreUpstream(record, actions);
+        adoptOwnRecord(record, actions);
         return;
     }
     if (!m_directory.apply(record))
         return;
+    if (record.isWithdrawn) {
+        removeWithdrawn({ record.node }, actions);
+        return;
+    }
     actions.emplace_back(internal::makeLogLine(log_level::info, "directory_change",
         { { "node", record.node }, { "service", record.upstream.service },
             { "upstream", record.upstream.incarnation.id }, { "address", record.peerAddress } }));
@@ -419,8 +456,25 @@
     scheduleConnect(record.node, m_settings.node < record.node ? milliseconds {} : internal::passiveConnectDelay);
 }
 
-// Restores the upstream from the record that an earlier process of this node published. An outdated record is safe:
-// the upstream rejects requests that name an identifier other than its own.
+void gateway_core::adoptOwnRecord(const directory_record& record, gateway_actions& actions)
+{
+    if (m_registry.restoreDepartures(record.departed, m_now))
+        publishUpstreamChange("upstream_left", actions);
+    if (record.storeEra >= m_storeEra) {
+        restoreUpstream(record, actions);
+        return;
+    }
+    // The store has come back from an older copy since, so a leave may have been recorded and lost. Only an
+    // announcement that arrives from now on shows that the upstream serves; those before may have been delayed.
+    m_heldAnnouncements.clear();
+    if (!m_registry.current())
+        actions.emplace_back(internal::makeLogLine(log_level::info, "upstream_not_assumed",
+            { { "upstream", record.upstream.incarnation.id }, { "record_era", std::to_string(record.storeEra) },
+                { "era", std::to_string(m_storeEra) } }));
+}
+
+// Restores the upstream from the record that an earlier process of this node published. The upstream rejects requests
+// that name an identifier other than its own.
 void gateway_core::restoreUpstream(const directory_record& record, gateway_actions& actions)
 {
     const bool isOwnUpstream = record.upstream.service == m_settings.service
@@ -473,8 +527,12 @@
     const upstream_status_message status = makeStatus();
     broadcast(status, actions);
     // Keep the record while the upstream is serving, so that the next process of this node can use it at once.
-    if (m_isRecordPublished && !m_registry.isServing())
-        actions.emplace_back(withdraw_record {});
+    if (m_isRecordPublished && !m_registry.isServing()) {
+        if (m_registry.departures().empty())
+            actions.emplace_back(withdraw_record {});
+        else
+            publishRecord(actions);
+    }
     actions.emplace_back(internal::makeLogLine(log_level::info, "stop_started",
         { { "pending", std::to_string(m_origin.pendingCount()) },
             { "running", std::to_string(m_served.load(m_now).running) } }));
@@ -746,7 +804,8 @@
     removeWithdrawn(message.withdrawn, actions);
     m_isLinkPlanOutdated = true;
     const bool isWhole = message.membershipFrom < 0;
-    m_isDirectoryRead = m_isDirectoryRead || isWhole;
+    if (m_isDirectoryRead || isWhole)
+        setDirectoryRead(actions);
     const bool isContiguous = isWhole || message.membershipFrom <= m_directoryOffset;
     if (isEraCurrent && isContiguous)
         m_directoryOffset = std::max(m_directoryOffset, message.membershipOffset);
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -4,6 +4,7 @@
 #include "knapweedcroft/chart/chart_set.hpp"
 #include "knapweedcroft/gateway/actions.hpp"
 #include "knapweedcroft/gateway/catch_up_requester.hpp"
+#include "knapweedcroft/gateway/departed_upstreams.hpp"
 #include "knapweedcroft/gateway/events.hpp"
 #include "knapweedcroft/gateway/leave_acknowledgements.hpp"
 #include "knapweedcroft/gateway/node_directory.hpp"
@@ -107,7 +108,11 @@
 
     void applyTable(const std::shared_ptr<const entry_table>& table, std::string_view source, gateway_actions& actions);
     void applyRecord(const directory_record& record, gateway_actions& actions);
+    void adoptOwnRecord(const directory_record& record, gateway_actions& actions);
     void restoreUpstream(const directory_record& record, gateway_actions& actions);
+    void setDirectoryRead(gateway_actions& actions);
+    void processAnnouncement(const upstream_announcement& announcement, gateway_actions& actions);
+    void publishRecord(gateway_actions& actions);
     void publishUpstreamChange(std::string_view logEvent, gateway_actions& actions);
     void awaitLeaveRecord(const std::string& upstream, bool isPublished, gateway_actions& actions);
     void settleLeaves(gateway_actions& actions);
@@ -146,6 +151,7 @@
     incarnation_id m_incarnation;
     time_point m_now;
     time_point m_wallNow;
+    departed_upstreams m_departed;
     upstream_registry m_registry;
     leave_acknowledgements m_leaves;
     node_directory m_directory;
@@ -171,6 +177,8 @@
     std::optional<bool> m_isStoreAvailable; /*!< Empty before the first answer or failure. */
     time_point m_storeLostAt;
     bool m_isDirectoryRead = false;
+    std::vector<upstream_announcement> m_heldAnnouncements; /*!< Received before the directory was read. */
+    bool m_isRecordHeld = false; /*!< The record is to be published once the directory has been read. */
     bool m_isStopping = false;
     bool m_isRecordPublished = false; /*!< A record of this node was published or restored. */
 };
--- a/src/knapweedcroft/gateway/node_directory.cpp
+++ b/src/knapweedcroft/gateway/node_directory.cpp
@@ -18,16 +18,18 @@
 [[nodiscard]] static nlohmann::json toJson(const directory_record& record)
 {
     const upstream_announcement& upstream = record.upstream;
-    return { { "node", record.node }, { "peer_address", record.peerAddress }, { "data_centre", record.data_centre },
-        { "written_ms", record.writtenAt }, { "service", upstream.service }, { "upstream", upstream.incarnation.id },
-        { "started_ms", upstream.incarnation.startedAt }, { "address", upstream.address }, { "slots", upstream.slots },
+    nlohmann::json object = { { "node", record.node }, { "peer_address", record.peerAddress },
+        { "data_centre", record.data_centre }, { "written_ms", record.writtenAt }, { "service", upstream.service },
+        { "upstream", upstream.incarnation.id }, { "started_ms", upstream.incarnation.startedAt },
+        { "address", upstream.address }, { "slots", upstream.slots },
         { "serving", upstream.state == upstream_state::serving } };
-}
-
-// An upstream may start again under its identifier.
-[[nodiscard]] static std::string keyOf(const upstream_incarnation& upstream)
-{
-    return upstream.id + "@" + std::to_string(upstream.startedAt);
+    if (record.storeEra != 0)
+        object["store_era"] = record.storeEra;
+    for (const upstream_incarnation& departed : record.departed)
+        object["departed"].push_back({ { "upstream", departed.id }, { "started_ms", departed.startedAt } });
+    if (record.isWithdrawn)
+        object["withdrawn"] = true;
+    return object;
 }
 
 [[nodiscard]] static std::string readText(json_reader& reader, std::string_view field)
@@ -39,6 +41,25 @@
     return text;
 }
 
+static void readDeparted(json_reader& reader, directory_record& record)
+{
+    const nlohmann::json& list = reader.child("departed");
+    if (list.is_null())
+        return;
+    if (!list.is_array() || list.size() > directory_record::maxDeparted) {
+        reader.fail(error_kind::wrong_type,
+            "field \"departed\" must be a list of at most " + std::to_string(directory_record::maxDeparted));
+        return;
+    }
+    for (const nlohmann::json& item : list) {
+        json_reader entry { item, "departed upstream" };
+        upstream_incarnation departed { readText(entry, "upstream"), entry.integer("started_ms", 0, INT64_MAX) };
+        if (const std::optional<error> fault = entry.finishLenient())
+            reader.fail(fault->kind, fault->message);
+        record.departed.push_back(std::move(departed));
+    }
+}
+
 [[nodiscard]] static result<directory_record> fromJson(const nlohmann::json& object)
 {
     json_reader reader { object, "directory record" };
@@ -55,6 +76,9 @@
     record.upstream.incarnation.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
     record.upstream.address = readText(reader, "address");
     record.upstream.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, directory_record::maxSlots));
+    record.storeEra = static_cast<std::uint64_t>(reader.integer("store_era", 0, INT64_MAX, 0));
+    record.isWithdrawn = reader.boolean("withdrawn", false);
+    readDeparted(reader, record);
     record.upstream.data_centre = record.data_centre;
     record.upstream.state = reader.boolean("serving", false) ? upstream_state::serving : upstream_state::draining;
     if (const std::optional<error> fault = reader.finishLenient())
@@ -85,6 +109,15 @@
 
 bool node_directory::apply(const directory_record& record)
 {
+    for (const upstream_incarnation& departed : record.departed)
+        m_departed.insert(departed);
+    if (record.isWithdrawn) {
+        keepWithdrawn(record);
+        const bool wasKnown = m_nodes.count(record.node) != 0;
+        withdraw(record.node);
+        return wasKnown;
+    }
+    m_withdrawn.erase(record.node);
     if (isAddressInUse(record))
         return false;
     known_node& known = m_nodes[record.node];
@@ -97,6 +130,8 @@
     // A status received on the link is more recent than a record in the store, which may even be from an older copy.
     if (known.isLinked && known.status && after.startedAt <= before.startedAt) {
         known.record.writtenAt = record.writtenAt;
+        known.record.storeEra = record.storeEra;
+        known.record.departed = record.departed;
         return std::exchange(known.record.peerAddress, record.peerAddress) != record.peerAddress;
     }
     const bool isServing = record.upstream.state == upstream_state::serving && !isLeaving(after);
@@ -107,6 +142,13 @@
     return isChanged;
 }
 
+void node_directory::keepWithdrawn(const directory_record& record)
+{
+    if (m_withdrawn.size() >= maxWithdrawn)
+        m_withdrawn.erase(m_withdrawn.begin());
+    m_withdrawn[record.node] = record;
+}
+
 void node_directory::withdraw(const node_name& node)
 {
     const auto position = m_nodes.find(node);
@@ -222,10 +264,7 @@
     return isKnown ? known->record.upstream.incarnation : upstream_incarnation { upstream, 0 };
 }
 
-bool node_directory::isLeaving(const upstream_incarnation& upstream) const
-{
-    return m_leavingUpstreams.contains(internal::keyOf(upstream));
-}
+bool node_directory::isLeaving(const upstream_incarnation& upstream) const { return m_departed.contains(upstream); }
 
 void node_directory::markLeaving(const node_name& node, const upstream_incarnation& upstream)
 {
@@ -233,8 +272,12 @@
     if (position != m_nodes.end() && position->second.record.upstream.incarnation == upstream) {
         position->second.isServing = false;
         position->second.record.upstream.state = upstream_state::draining;
+        std::vector<upstream_incarnation>& departed = position->second.record.departed;
+        const bool isListed = std::find(departed.begin(), departed.end(), upstream) != departed.end();
+        if (!isListed && departed.size() < directory_record::maxDeparted)
+            departed.push_back(upstream);
     }
-    m_leavingUpstreams.insert(internal::keyOf(upstream));
+    m_departed.insert(upstream);
 }
 
 const known_node* node_directory::find(const node_name& node) const
@@ -260,6 +303,8 @@
         if (!item.second.record.peerAddress.empty())
             records.push_back(item.second.record);
     }
+    for (const std::pair<const node_name, directory_record>& item : m_withdrawn)
+        records.push_back(item.second);
     return formatRecords(records);
 }
 
--- a/src/knapweedcroft/gateway/node_directory.hpp
+++ b/src/knapweedcroft/gateway/node_directory.hpp
@@ -3,7 +3,7 @@
 
 #include "knapweedcroft/core/error.hpp"
 #include "knapweedcroft/core/fwd.hpp"
-#include "knapweedcroft/gateway/recent_ids.hpp"
+#include "knapweedcroft/gateway/departed_upstreams.hpp"
 #include "knapweedcroft/gateway/upstream_registry.hpp"
 #include "knapweedcroft/wire/messages.hpp"
 
@@ -20,12 +20,16 @@
 /** @brief Address of a node and the upstream on its host, as published by the node. */
 struct directory_record {
     static constexpr std::int64_t maxSlots = 1'000'000;
+    static constexpr std::size_t maxDeparted = 64;
 
     node_name node;
     std::string peerAddress; /*!< `host:port` on which it accepts links. */
     std::string data_centre;
     std::int64_t writtenAt = 0; /*!< Unix time in ms at which the node wrote the record, by its own clock. */
-    upstream_announcement upstream;
+    std::uint64_t storeEra = 0; /*!< Latest era of the store that the node had seen; zero if none. */
+    upstream_announcement upstream; /*!< Without an identifier if the node knows only departed upstreams. */
+    std::vector<upstream_incarnation> departed; /*!< Latest upstreams of the host that have left. */
+    bool isWithdrawn = false; /*!< The node has stopped; only the departed upstreams are of use. */
 
     /** @brief Returns the JSON text of the record. */
     [[nodiscard]] std::string format() const;
@@ -59,7 +63,17 @@
 class node_directory {
 public:
     /**
-     * @brief Adds or updates a node from its record, unless the record is older than the known one.
+     * @brief Constructs an empty directory.
+     * @param departed Upstreams that have left, to which this directory adds; must outlive the directory.
+     */
+    explicit node_directory(departed_upstreams& departed)
+        : m_departed { departed }
+    {
+    }
+
+    /**
+     * @brief Adds or updates a node from its record, unless the record is older than the known one; removes it if the
+     * record is withdrawn.
      * @param record The record; ignored if a linked node of another name uses its address.
      * @return True if the node is new or its address, its upstream or whether that serves has changed.
      */
@@ -142,12 +156,14 @@
     [[nodiscard]] static result<std::vector<directory_record>> parseRecords(std::string_view text);
 
 private:
-    static constexpr std::size_t maxLeavingUpstreams = 1024; // Exceeds the hosts of a fleet that is replaced at once.
+    static constexpr std::size_t maxWithdrawn = 1024; // Exceeds the hosts of a fleet that is replaced at once.
 
+    void keepWithdrawn(const directory_record& record);
     [[nodiscard]] bool isAddressInUse(const directory_record& record) const;
 
     std::map<node_name, known_node> m_nodes;
-    recent_ids m_leavingUpstreams { maxLeavingUpstreams }; /*!< Identifiers with their start times. */
+    std::map<node_name, directory_record> m_withdrawn; /*!< Kept for copies of the directory. */
+    departed_upstreams& m_departed;
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/gateway/upstream_registry.hpp
+++ b/src/knapweedcroft/gateway/upstream_registry.hpp
@@ -4,28 +4,18 @@
 #include "knapweedcroft/chart/chart_set.hpp"
 #include "knapweedcroft/core/fwd.hpp"
 #include "knapweedcroft/core/time.hpp"
+#include "knapweedcroft/gateway/departed_upstreams.hpp"
+#include "knapweedcroft/gateway/upstream_incarnation.hpp"
 #include "knapweedcroft/node/events.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace knapweedcroft {
 
-/** @brief Identifies one run of an upstream process. */
-struct upstream_incarnation {
-    std::string id;
-    std::int64_t startedAt = 0; /*!< Unix time in ms; zero if the upstream does not report it. */
-
-    friend bool operator==(const upstream_incarnation& lhs, const upstream_incarnation& rhs)
-    {
-        return lhs.id == rhs.id && lhs.startedAt == rhs.startedAt;
-    }
-    friend bool operator!=(const upstream_incarnation& lhs, const upstream_incarnation& rhs) { return !(lhs == rhs); }
-};
-
 /** @brief State that an upstream reports about itself. */
 struct upstream_announcement {
     upstream_incarnation incarnation;
@@ -52,8 +42,9 @@
      * @brief Constructs a registry without an upstream.
      * @param upstreamChart State chart of an upstream; must outlive the registry.
      * @param silenceTimeout Time without announcements after which the upstream counts as silent.
+     * @param departed Upstreams that have left, to which this registry adds; must outlive the registry.
      */
-    upstream_registry(const chart& upstreamChart, milliseconds silenceTimeout);
+    upstream_registry(const chart& upstreamChart, milliseconds silenceTimeout, departed_upstreams& departed);
 
     /**
      * @brief Processes an announcement.
@@ -69,7 +60,7 @@
      * earlier process does not make it serve.
      * @param id Identifier of the upstream.
      * @param now Current time.
-     * @param startedAt Unix time in ms at which the upstream started; nothing if unknown, for any of its starts so far.
+     * @param startedAt Unix time in ms at which the upstream started; nothing if unknown, for any of its starts.
      * @return True if this is the current upstream and it was serving.
      */
     bool leave(const std::string& id, time_point now, std::optional<std::int64_t> startedAt = std::nullopt);
@@ -103,12 +94,20 @@
     /** @brief Returns true if the current upstream has announced that it leaves, which holds for this incarnation. */
     [[nodiscard]] bool isLeaving() const noexcept { return m_state.state() == upstream_chart_state::draining; }
 
+    /** @brief Returns the latest upstreams of this host that have left, for its directory record, the latest last. */
+    [[nodiscard]] const std::vector<upstream_incarnation>& departures() const noexcept { return m_departures; }
+
+    /**
+     * @brief Restores the upstreams that have left according to the record of an earlier process.
+     * @return True if the current upstream is among them and was serving.
+     */
+    bool restoreDepartures(const std::vector<upstream_incarnation>& departures, time_point now);
+
     /** @brief Returns the remaining warm-up time of the upstream; never negative. */
     [[nodiscard]] milliseconds remainingWarmUp(time_point now) const;
 
 private:
     void recordDeparture(const upstream_incarnation& upstream);
-    [[nodiscard]] bool hasDeparted(const upstream_incarnation& upstream) const;
     void applyAnnouncedState(const upstream_announcement& announcement);
     [[nodiscard]] bool isStale(const upstream_announcement& announcement);
     void replaceCurrent(const upstream_announcement& announcement);
@@ -117,10 +116,11 @@
     milliseconds m_silenceTimeout;
     std::optional<upstream_announcement> m_current;
     time_point m_announcedAt;
-    std::set<std::string> m_formerUpstreams; /*!< Identifiers of replaced upstreams. */
-    std::map<std::string, std::int64_t> m_departed; /*!< Latest start of other upstreams that left, by identifier. */
+    std::map<std::string, std::int64_t> m_formerUpstreams; /*!< Start times of replaced upstreams, by identifier. */
+    departed_upstreams& m_departed;
+    std::vector<upstream_incarnation> m_departures; /*!< Those of this host; the latest ones, in order. */
     std::optional<std::int64_t> m_restartCandidateSequence; /*!< Latest number not above the newest one. */
-    bool m_hasLeft = false; /*!< The current incarnation left; its later announcements are stale. */
+    bool m_hasLeft = false; /*!< The current incarnation left; it announces nothing any more. */
 };
 
 } // namespace knapweedcroft
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -490,6 +490,7 @@
     EXPECT_EQ(std::get<reported_notices_message>(message).rate, 2.0);
 
     m_group.add("d", "visits", "z1", 4);
+    m_group.handle("d", directory_read { {}, {}, true });
     m_group.handle("d", message_received { "c", reported_notices_message { "upstream of d", 3.0, false, 1 } });
     m_group.run(milliseconds { 1 });
     EXPECT_EQ(rateOf(m_group.core("d")), 3.0);
@@ -592,7 +593,9 @@
     m_group.leave("a");
     m_group.run(milliseconds { 400 });
     ASSERT_EQ(m_group.leaveVerdicts("a"), (std::vector<leave_verdict> { { "upstream of a", true } }));
-    m_group.restart("a");
+    m_group.restartAll();
+    m_group.run(milliseconds { 500 });
+    m_group.announceLate("a");
     m_group.run(milliseconds { 3000 });
     EXPECT_EQ(sendFromAllNodes(), 0U);
 }
@@ -630,6 +633,143 @@
     EXPECT_EQ(m_group.leaveVerdicts("a").back(), (leave_verdict { "upstream of a", true }));
 }
 
+namespace {
+
+struct leave_event {
+    const char* name;
+    void (*apply)(gateway_group&);
+};
+
+// Ways in which the upstream of node a leaves.
+const std::vector<leave_event>& leaveWays()
+{
+    static const std::vector<leave_event> ways {
+        { "DELETE", [](gateway_group& group) { group.leave("a"); } },
+        { "draining", [](gateway_group& group) { group.drain("a"); } },
+        { "draining, then DELETE",
+            [](gateway_group& group) {
+                group.drain("a");
+                group.leave("a");
+            } },
+        { "DELETE, then draining",
+            [](gateway_group& group) {
+                group.leave("a");
+                group.drain("a");
+            } },
+        { "DELETE at a new process",
+            [](gateway_group& group) {
+                group.restart("a");
+                group.leave("a");
+            } },
+    };
+    return ways;
+}
+
+// Events that an acknowledged leave outlives; see docs/md/leaves.md.
+const std::vector<leave_event>& leaveEvents()
+{
+    static const std::vector<leave_event> events {
+        { "the process ends", [](gateway_group& group) { group.restart("a"); } },
+        { "all processes end", [](gateway_group& group) { group.restartAll(); } },
+        { "a planned stop",
+            [](gateway_group& group) {
+                group.handle("a", stop_requested { milliseconds { 5000 } });
+                group.run(milliseconds { 100 });
+                group.restart("a");
+            } },
+        { "all processes end while the store is away",
+            [](gateway_group& group) {
+                group.setStoreAvailable(false);
+                group.restartAll();
+                group.run(milliseconds { 1000 });
+                group.announceLate("a");
+                group.setStoreAvailable(true);
+            } },
+        { "the store is away",
+            [](gateway_group& group) {
+                group.setStoreAvailable(false);
+                group.run(milliseconds { 2000 });
+                group.setStoreAvailable(true);
+            } },
+        { "an older copy of the store", [](gateway_group& group) { group.restoreCopy(); } },
+        { "a late announcement", [](gateway_group& group) { group.announceLate("a"); } },
+        { "a late announcement at once after a start",
+            [](gateway_group& group) {
+                group.restartAll();
+                group.announceLate("a");
+            } },
+        { "the leave is repeated", [](gateway_group& group) { group.leave("a"); } },
+        { "a successor that leaves",
+            [](gateway_group& group) {
+                group.announceSuccessor("a");
+                group.run(milliseconds { 1000 });
+                group.handle("a", leave_received { "successor at a" });
+            } },
+    };
+    return events;
+}
+
+} // namespace
+
+// Guards against gaps between the mechanisms that keep an acknowledged leave: each pair of the events that it outlives,
+// for each way of leaving, with and without start times in the announcements (DRAIN).
+TEST(LeaveEvents, DoNotReviveAnUpstreamInPairs)
+{
+    for (const std::int64_t startedAt : { 0, 1 }) {
+        for (const leave_event& way : leaveWays()) {
+            for (const leave_event& first : leaveEvents()) {
+                for (const leave_event& second : leaveEvents()) {
+                    gateway_group group { makeReadAndBookTable() };
+                    group.upstreamStartedAt = startedAt;
+                    addLeaveNodes(group);
+                    group.takeCopy();
+                    way.apply(group);
+                    group.run(milliseconds { 800 });
+                    ASSERT_FALSE(group.leaveVerdicts("a").empty());
+                    ASSERT_TRUE(group.leaveVerdicts("a").back().isAcknowledged);
+                    const std::size_t before = group.exchanges("a").size();
+                    first.apply(group);
+                    group.run(milliseconds { 200 });
+                    second.apply(group);
+                    group.run(milliseconds { 3000 });
+                    sendReads(group);
+                    EXPECT_EQ(group.exchanges("a").size(), before)
+                        << way.name << "; " << first.name << "; " << second.name << "; started at " << startedAt;
+                }
+            }
+        }
+    }
+}
+
+// Guards against a leave that shuts out the successor at the same address, or a new start of the same upstream.
+TEST(LeaveEvents, LetASuccessorServeSoon)
+{
+    for (const std::int64_t startedAt : { 0, 1 }) {
+        for (const leave_event& way : leaveWays()) {
+            for (const leave_event& event : leaveEvents()) {
+                gateway_group group { makeReadAndBookTable() };
+                group.upstreamStartedAt = startedAt;
+                addLeaveNodes(group);
+                group.takeCopy();
+                way.apply(group);
+                group.run(milliseconds { 800 });
+                event.apply(group);
+                group.run(milliseconds { 2000 });
+                const std::size_t before = group.exchanges("a").size();
+                upstream_announcement next;
+                next.incarnation = { "next at a", startedAt == 0 ? 0 : startedAt + 2 };
+                next.service = "visits";
+                next.address = "127.0.0.1:1";
+                next.slots = 4;
+                group.handle("a", announcement_received { next });
+                group.run(milliseconds { 100 });
+                sendReads(group);
+                EXPECT_GT(group.exchanges("a").size(), before) << way.name << "; " << event.name << "; " << startedAt;
+            }
+        }
+    }
+}
+
 // --- requests that crash upstreams
 
 class crash_test : public gateway_core_test {
--- a/test/knapweedcroft/gateway/node_directory.cpp
+++ b/test/knapweedcroft/gateway/node_directory.cpp
@@ -45,7 +45,8 @@
 // Stale reads of the store and late copies from peers must not restore a replaced upstream.
 TEST(NodeDirectory, NewerRecordsWinWhicheverWayTheyCome)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     EXPECT_TRUE(directory.apply(record("n", 200, 10)));
     EXPECT_FALSE(directory.apply(record("n", 100, 20)));
     EXPECT_FALSE(directory.apply(record("n", 200, 9)));
@@ -55,7 +56,8 @@
 
 TEST(NodeDirectory, StatusFromTheLinkOverridesTheRecord)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.onLinkOpened(hello("n"));
     EXPECT_TRUE(directory.updateStatus("n", status(200, false), time_point {}));
     directory.apply(record("n", 200, 10));
@@ -67,7 +69,8 @@
 // After the store came back from an older copy, its record may name an upstream that has been replaced since.
 TEST(NodeDirectory, KeepsTheUpstreamOfTheLinkWhenTheStoreReturnsAnOlderRecord)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory_record old = record("n", 0, 10);
     directory.apply(old);
     directory.onLinkOpened(hello("n"));
@@ -81,7 +84,8 @@
 
 TEST(NodeDirectory, KeepsALinkedNodeThatWithdrewItsRecord)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.apply(record("n", 200, 10));
     directory.onLinkOpened(hello("n"));
     directory.withdraw("n");
@@ -95,7 +99,8 @@
 // to it twice a second without end.
 TEST(NodeDirectory, RemovesTheNodeWhoseAddressIsReused)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.apply(record("old", 100, 1));
     directory.onLinkOpened(hello("new"));
     EXPECT_EQ(directory.removeReplacedNodes("new"), std::vector<node_name> { "old" });
@@ -108,7 +113,8 @@
 
 TEST(NodeDirectory, ParsesTheRecordsThatItFormats)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.apply(record("a", 100, 1));
     directory.apply(record("b", 200, 2));
     const result<std::vector<directory_record>> copies = node_directory::parseRecords(directory.format());
@@ -148,7 +154,8 @@
 // Guards against a node that starts again beside a leaving upstream and offers it to nodes that know better.
 TEST(NodeDirectory, KeepsALeavingUpstreamFromServingAgain)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.onLinkOpened(hello("n"));
     EXPECT_TRUE(directory.updateStatus("n", status(200, true), time_point {}));
     directory.markLeaving("n", { "u200", 200 });
@@ -164,10 +171,38 @@
     EXPECT_TRUE(directory.find("n")->isServing);
 }
 
+// Guards against a node that starts from a peer's copy of the directory and does not learn which upstreams have left.
+TEST(NodeDirectory, CopiesTheDepartedUpstreams)
+{
+    departed_upstreams departed;
+    node_directory directory { departed };
+    directory_record serving = record("a", 100, 1);
+    serving.departed = { { "u90", 90 } };
+    directory_record stopped = record("b", 200, 1);
+    stopped.departed = { { "u200", 200 } };
+    stopped.isWithdrawn = true;
+    directory.apply(serving);
+    directory.apply(stopped);
+    EXPECT_EQ(directory.find("b"), nullptr);
+    const result<std::vector<directory_record>> copies = node_directory::parseRecords(directory.format());
+    ASSERT_TRUE(hasValue(copies));
+    departed_upstreams copiedDeparted;
+    node_directory copy { copiedDeparted };
+    for (const directory_record& item : valueOf(copies))
+        copy.apply(item);
+    EXPECT_TRUE(copy.isLeaving({ "u90", 90 }));
+    EXPECT_TRUE(copy.isLeaving({ "u200", 200 }));
+    EXPECT_FALSE(copy.isLeaving({ "u100", 100 }));
+    EXPECT_EQ(copy.find("b"), nullptr);
+    directory.apply(record("b", 300, 2));
+    EXPECT_NE(directory.find("b"), nullptr) << "the node has started again";
+}
+
 // Guards against an upstream that starts again under its identifier and stays shut out by its earlier leave.
 TEST(NodeDirectory, ServesANewStartOfALeavingUpstream)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.onLinkOpened(hello("n"));
     directory.markLeaving("n", { "u", 200 });
     upstream_status_message restarted = status(300, true);
@@ -180,7 +215,8 @@
 // Guards against memory that grows with each upstream that has ever left.
 TEST(NodeDirectory, ForgetsTheEarliestOfManyLeavingUpstreams)
 {
-    node_directory directory;
+    departed_upstreams departed;
+    node_directory directory { departed };
     directory.onLinkOpened(hello("n"));
     for (int number = 1; number <= 1025; ++number)
         directory.markLeaving("n", { "u" + std::to_string(number), number });
--- a/test/knapweedcroft/gateway/upstream_registry.cpp
+++ b/test/knapweedcroft/gateway/upstream_registry.cpp
@@ -8,7 +8,7 @@
 protected:
     upstream_registry_test()
         : m_charts { valueOf(loadCharts(KNAPWEEDCROFT_SOURCE_DIRECTORY "/charts")) }
-        , m_registry { m_charts.upstream, milliseconds { 5000 } }
+        , m_registry { m_charts.upstream, milliseconds { 5000 }, m_departed }
     {
     }
 
@@ -25,6 +25,7 @@
     }
 
     chart_set m_charts;
+    departed_upstreams m_departed;
     upstream_registry m_registry;
 };
 
