Fence writes of the own record by epochs

The store may run a write that it has not answered seconds later (PROTOCOL.md). A record from before a leave could so replace the one that holds the acknowledged leave, and a start of all processes would offer the upstream again.

Each value of the record is now written with a greater epoch than the one before, starting from the time of the process, and the store refuses earlier ones. After the clock was set back, a refusal raises the epoch.

KeepsTheNewestValueWhenAnEarlierWriteRunsLate fails without the epochs: the late write is appended after the newer one. The fake store now keeps the epochs of producers.

--- a/src/knapweedcroft/net/http_types.cpp
+++ b/src/knapweedcroft/net/http_types.cpp
@@ -9,6 +9,9 @@
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <cstdlib>
+#include <memory>
+#include <new>
 
 namespace knapweedcroft {
 
@@ -49,6 +52,16 @@
     return found;
 }
 
+std::string percentEncode(const std::string& text)
+{
+    const std::unique_ptr<char, decltype(&std::free)> encoded {
+        evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free
+    };
+    if (!encoded)
+        throw std::bad_alloc {};
+    return encoded.get();
+}
+
 http_response jsonResponse(int status, std::string body)
 {
     http_response response;
--- a/test/platform/fake_store.cpp
+++ b/test/platform/fake_store.cpp
@@ -124,19 +124,43 @@
     ++appendCalls;
     if (injectFailure(id))
         return;
+    if (appendDelay) {
+        m_delayedAppends.push_back(
+            std::make_unique<loop_timer>(m_loop, [this, request] { static_cast<void>(runAppend(request)); }));
+        m_delayedAppends.back()->start(*std::exchange(appendDelay, std::nullopt));
+        return;
+    }
+    const http_response response = runAppend(request);
+    if (appendsWithoutResponse > 0) {
+        --appendsWithoutResponse;
+        return;
+    }
+    answer(id, response);
+}
+
+// Each producer here uses sequence 0 in each of its epochs, so an append of the latest epoch is a repeat.
+http_response fake_store::runAppend(const http_request& request)
+{
     const std::string name = internal::topicOf(request);
+    bool isRepeat = false;
+    if (const std::optional<std::string> producer = findQueryParameter(request, "Producer")) {
+        const std::uint64_t epoch = std::stoull(findQueryParameter(request, "epoch").value_or("0"));
+        std::uint64_t& latest = m_topics[name].epochs[*producer];
+        if (epoch < latest) {
+            ++fencedAppends;
+            return jsonResponse(409, R"({"why":"fenced"})");
+        }
+        isRepeat = epoch == latest;
+        latest = epoch;
+    }
     appendedBodies.push_back(request.body);
     const result<record_batch> sent
         = decodeRecordBatch(internal::encodeOffset(0) + internal::encodeOffset(0) + request.body);
-    if (hasValue(sent)) {
+    if (hasValue(sent) && !isRepeat) {
         for (const keyed_record& record : valueOf(sent).records)
             append(name, record);
     }
-    if (appendsWithoutResponse > 0) {
-        --appendsWithoutResponse;
-        return;
-    }
-    answer(id, jsonResponse(200, "{\"Offset\":0,\"EndOffset\":" + std::to_string(size(name)) + "}"));
+    return jsonResponse(200, "{\"Offset\":0,\"EndOffset\":" + std::to_string(size(name)) + "}");
 }
 
 void fake_store::answer(std::uint64_t id, http_response response)
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -64,7 +64,9 @@
     std::optional<std::string> era { "1" }; /*!< Value of the header that names the era; none if empty. */
     std::int64_t lastReadWaitMs = -1; /*!< Long-poll time of the last read. */
     std::size_t appendsWithoutResponse = 0; /*!< Number of next appends to apply without sending a response. */
-    std::vector<std::string> appendedBodies; /*!< Request bodies of the applied appends. */
+    std::optional<milliseconds> appendDelay; /*!< The next append runs after this time and sends no response. */
+    std::size_t fencedAppends = 0; /*!< Appends that were refused for their epoch. */
+    std::vector<std::string> appendedBodies; /*!< Request bodies of the appends that were applied or repeated. */
 
 private:
     struct pending_read {
@@ -78,11 +80,13 @@
         std::vector<time_point> appendedAt;
         std::size_t firstOffset = 0; // Oldest retained offset.
         std::vector<pending_read> pendingReads;
+        std::map<std::string, std::uint64_t> epochs; // Latest epoch of each producer.
     };
 
     void onSnapshot(std::uint64_t id, const http_request& request);
     void onRead(std::uint64_t id, const http_request& request);
     void onAppend(std::uint64_t id, const http_request& request);
+    [[nodiscard]] http_response runAppend(const http_request& request);
     void respondToRead(std::uint64_t id, const topic_log& log, std::size_t from);
     void onReadTimeout(const std::string& name, std::uint64_t id);
     [[nodiscard]] bool injectFailure(std::uint64_t id);
@@ -94,6 +98,7 @@
     http_server m_server;
     std::string m_address;
     std::map<std::string, topic_log> m_topics;
+    std::vector<std::unique_ptr<loop_timer>> m_delayedAppends;
 };
 
 } // namespace knapweedcroft::platform
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -216,7 +216,7 @@
 TEST_F(store_client_test, WritesUntilTheStoreTakesIt)
 {
     int storedCount = 0;
-    record_writer writer { m_loop, m_store.address(), m_era, "keyed.t", "key", 1, [&storedCount] { ++storedCount; } };
+    record_writer writer { m_loop, m_store.address(), m_era, { "keyed.t", "key" }, [&storedCount] { ++storedCount; } };
     m_store.appendsWithoutResponse = 1;
     writer.write("one");
     ASSERT_TRUE(waitFor([this] { return m_store.appendedBodies.size() == 2; }));
@@ -232,4 +232,35 @@
     EXPECT_TRUE(waitFor([&storedCount] { return storedCount == 2; }));
 }
 
+// Guards against a write that the store runs seconds later, after it has acknowledged a newer value: a record from
+// before a leave would replace the one that holds the leave (DRAIN).
+TEST_F(store_client_test, KeepsTheNewestValueWhenAnEarlierWriteRunsLate)
+{
+    int storedCount = 0;
+    record_writer writer { m_loop, m_store.address(), m_era, { "keyed.t", "key" }, [&storedCount] { ++storedCount; } };
+    m_store.appendDelay = milliseconds { 2000 };
+    writer.write("one");
+    writer.write("two");
+    ASSERT_TRUE(waitFor([&storedCount] { return storedCount == 1; }));
+    ASSERT_TRUE(waitFor([this] { return m_store.fencedAppends == 1; }));
+    EXPECT_EQ(m_store.size("keyed.t"), 1U);
+    EXPECT_EQ(m_store.appendedBodies.back(), encodeRecord({ "key", "two" }));
+}
+
+// Guards against a node that never writes again after its clock was set back.
+TEST_F(store_client_test, WritesAfterItsClockWasSetBack)
+{
+    int storedCount = 0;
+    const std::uint64_t hour = 3'600'000;
+    record_writer earlier { m_loop, m_store.address(), m_era, { "keyed.t", "key", 9 * hour },
+        [&storedCount] { ++storedCount; } };
+    earlier.write("one");
+    ASSERT_TRUE(waitFor([&storedCount] { return storedCount == 1; }));
+    record_writer later { m_loop, m_store.address(), m_era, { "keyed.t", "key", hour },
+        [&storedCount] { ++storedCount; } };
+    later.write("two");
+    ASSERT_TRUE(waitFor([&storedCount] { return storedCount == 2; }));
+    EXPECT_EQ(m_store.appendedBodies.back(), encodeRecord({ "key", "two" }));
+}
+
 } // namespace knapweedcroft::platform
