Treat a response with an invalid status code as a failed exchange

Cause: Beast accepts any three digits, and each code below 200 counted as an interim response. RFC 9110, section 15, allows 100 to 599. A code outside of them, and 101, which no request asks for, now fail the exchange at once.

--- a/src/knapweedcroft/http/response_parser.cpp
+++ b/src/knapweedcroft/http/response_parser.cpp
@@ -13,6 +13,22 @@
 
 namespace http = boost::beast::http;
 
+namespace internal {
+
+static constexpr unsigned firstInterimStatus = 100;
+static constexpr unsigned switchingProtocols = 101;
+static constexpr unsigned firstFinalStatus = 200;
+static constexpr unsigned lastFinalStatus = 599;
+
+// Status codes outside 100 to 599 are invalid (RFC 9110, section 15). No request asks to switch protocols, and what
+// follows such a response is no HTTP.
+[[nodiscard]] static bool isValidStatus(unsigned status)
+{
+    return firstInterimStatus <= status && status <= lastFinalStatus && status != switchingProtocols;
+}
+
+} // namespace internal
+
 struct response_parser::implementation {
     http::response_parser<http::string_body> parser;
     internal::header_validator headerValidator;
@@ -56,8 +72,12 @@
         m_isTooLarge = parseResult == http::error::body_limit;
         return consumed;
     }
-    constexpr int firstFinalStatus = 200;
-    if (isDone() && m_implementation->parser.get().result_int() < firstFinalStatus) {
+    const unsigned status = m_implementation->parser.get().result_int();
+    if (m_implementation->parser.is_header_done() && !internal::isValidStatus(status)) {
+        m_fault = parse_error { 502, "the response has the invalid status code " + std::to_string(status) };
+        return consumed;
+    }
+    if (isDone() && status < internal::firstFinalStatus) {
         m_interimBytes += consumed;
         m_isTooLarge = m_interimBytes > m_limits.maxHeaderBytes;
         reset();
--- a/test/knapweedcroft/http/exchange_client.cpp
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -240,6 +240,21 @@
 
 // Guards against an exchange that stays open until its deadline because no memory can be reserved for the length that a
 // server announces.
+// Guards against a client that waits for its deadline although the exchange has failed, or gets an invalid status code.
+TEST_F(exchange_client_test, FailsAtOnceOnAnInvalidStatusCode)
+{
+    for (const char* code : { "000", "099", "101", "600", "999" }) {
+        m_server.script.push_back(
+            { std::string { "HTTP/1.1 " } + code + " Reason\r\nId: 1\r\nContent-Length: 2\r\n\r\nab" });
+        const exchange_outcome outcome = exchange("1");
+        const exchange_failure* failure = std::get_if<exchange_failure>(&outcome);
+        ASSERT_NE(failure, nullptr) << code;
+        EXPECT_EQ(failure->cause.kind, error_kind::connection_failed) << code;
+        EXPECT_TRUE(failure->wasWritten) << code;
+    }
+    EXPECT_EQ(m_server.connections, 5U) << "a connection with such a response is not used again";
+}
+
 TEST_F(exchange_client_test, FailsOnALengthAboveTheLimit)
 {
     m_server.script = { { "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999999\r\n\r\nabc" } };
--- a/test/knapweedcroft/http/response_parser.cpp
+++ b/test/knapweedcroft/http/response_parser.cpp
@@ -24,6 +24,26 @@
     }
 }
 
+// Guards against a backend in trouble whose response has no valid status code: passed on, it would reach the client as
+// an answer, and taken for an interim response, it would keep the client waiting until its deadline.
+TEST(ResponseParser, RefusesInvalidStatusCodes)
+{
+    for (const char* code : { "000", "001", "099", "101", "600", "999" }) {
+        response_parser parser { message_limits {}, false };
+        feed(parser, { std::string { "HTTP/1.1 " } + code + " Reason\r\nContent-Length: 2\r\n\r\n", "ab" });
+        EXPECT_TRUE(parser.fault()) << code;
+        EXPECT_FALSE(parser.isTooLarge()) << code;
+    }
+    for (const char* code : { "200", "299", "404", "418", "500", "599" }) {
+        response_parser parser { message_limits {}, false };
+        feed(parser,
+            { std::string { "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 " } + code
+                + " Reason\r\nContent-Length: 2\r\n\r\nab" });
+        ASSERT_TRUE(parser.isDone()) << code;
+        EXPECT_EQ(parser.take().status, std::stoi(code));
+    }
+}
+
 // An end of the connection before the end of the last chunk leaves the response incomplete.
 TEST(ResponseParser, FailsOnALastChunkThatIsCutShort)
 {
