Close no connection as idle while its client reads an answer

Cause: isIdle and the idle timer looked at requests only, and an answer leaves the pipeline when it enters the output buffer.

Unsent bytes now keep the connection open as long as the client takes some of them within each idle time; a client that reads nothing is closed as before.

--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -52,7 +52,7 @@
     [[nodiscard]] bool isIdle() const
     {
         return m_pipeline.empty() && !m_isReading && !m_hasStoppedReading
-            && evbuffer_get_length(bufferevent_get_input(m_stream.get())) == 0;
+            && evbuffer_get_length(bufferevent_get_input(m_stream.get())) == 0 && unsentBytes() == 0;
     }
 
 private:
@@ -66,6 +66,20 @@
         bool shouldClose = false;
     };
 
+    [[nodiscard]] std::size_t unsentBytes() const
+    {
+        return evbuffer_get_length(bufferevent_get_output(m_stream.get()));
+    }
+
+    void startIdleTimer()
+    {
+        m_unsentAtTimerStart = unsentBytes();
+        m_timer.start(m_server.m_limits.idleTime);
+    }
+
+    // A client that reads slowly is not idle; one that reads nothing at all is.
+    [[nodiscard]] bool isSending() const { return unsentBytes() > 0 && unsentBytes() < m_unsentAtTimerStart; }
+
     void addBufferedBytes(std::size_t bytes)
     {
         m_bufferedBytes += bytes;
@@ -189,7 +203,7 @@
         }
         if (m_hasWrittenLast || !m_pipeline.empty())
             return;
-        m_timer.start(m_server.m_limits.idleTime);
+        startIdleTimer();
         if (evbuffer_get_length(bufferevent_get_input(m_stream.get())) > 0)
             m_server.m_loop.post([&server = m_server, target = this] { server.resumeReading(target); });
     }
@@ -207,7 +221,7 @@
         m_hasWrittenLast = true;
         m_hasStoppedReading = true;
         abortPipeline();
-        m_timer.start(m_server.m_limits.idleTime);
+        startIdleTimer();
     }
 
     void abortPipeline()
@@ -228,10 +242,10 @@
             reject(parse_error { 408, "the header did not arrive in time; send it at once" });
             return;
         }
-        if (m_pipeline.empty())
+        if (m_pipeline.empty() && !isSending())
             close();
         else
-            m_timer.start(m_server.m_limits.idleTime);
+            startIdleTimer();
     }
 
     void close()
@@ -297,6 +311,7 @@
     std::deque<pipelined_request> m_pipeline;
     std::vector<std::size_t> m_unflushedSizes;
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_unsentAtTimerStart = 0; /*!< Unsent bytes of responses when the idle timer was started. */
     std::size_t m_reservedBytes = 0; /*!< Part of it, for the request that is being read. */
     bool m_isReading = false;
     bool m_isHeaderDone = false;
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -22,7 +22,8 @@
 struct pipelined_server_limits {
     message_limits message;
     milliseconds headerTime { 10'000 }; /*!< Longest time from the first to the last byte of a header section. */
-    milliseconds idleTime { 60'000 }; /*!< Connections without a request are closed after this. */
+    /** @brief Connections without a request are closed after this, unless their client is reading a response. */
+    milliseconds idleTime { 60'000 };
     std::size_t maxPipelined = 256; /*!< Most unanswered requests per connection; reading pauses beyond it. */
     /** @brief Bytes of requests and responses buffered over all connections, also of those being read; further requests
      * are answered with 503. */
@@ -83,7 +84,7 @@
     /** @brief Makes each further response close its connection, so that clients reconnect to another node. */
     void startDraining() { m_isDraining = true; }
 
-    /** @brief Closes the connections that have no unanswered and no partly received request. */
+    /** @brief Closes the connections that have no unanswered, no partly received request and no unsent response. */
     void closeIdle();
 
     void stopAccepting();
--- a/test/knapweedcroft/http/pipelined_server.cpp
+++ b/test/knapweedcroft/http/pipelined_server.cpp
@@ -44,10 +44,23 @@
 
     void send(const std::string& text) { bufferevent_write(m_stream.get(), text.data(), text.size()); }
     void close() { m_stream.reset(); }
+
+    // Limits the rate at which the client reads; one byte per tick is as good as nothing.
+    void readAtRate(std::size_t bytesPerTick)
+    {
+        const timeval tick { 0, 10'000 };
+        m_rate.reset(ev_token_bucket_cfg_new(bytesPerTick, bytesPerTick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick));
+        bufferevent_set_rate_limit(m_stream.get(), m_rate.get());
+    }
     [[nodiscard]] const std::string& received() const { return m_received; }
     [[nodiscard]] bool isClosed() const { return m_isClosed; }
 
 private:
+    struct rate_deleter {
+        void operator()(ev_token_bucket_cfg* value) const noexcept { ev_token_bucket_cfg_free(value); }
+    };
+
+    std::unique_ptr<ev_token_bucket_cfg, rate_deleter> m_rate;
     internal::bufferevent_ptr m_stream;
     std::string m_received;
     bool m_isClosed = false;
@@ -200,4 +213,43 @@
     EXPECT_NE(client.received().find("Content-Length: 9\r\n\r\nHTTP/1.1 200"), std::string::npos);
 }
 
+// Guards against answers that are cut because their clients read slowly: the idle timer and a planned stop took the
+// connection for an idle one as soon as the answer was in the output buffer (LOST).
+TEST_F(pipelined_server_test, FinishesAnswersThatAreReadSlowly)
+{
+    constexpr std::size_t bytesPerMiB = std::size_t { 1024 } * 1024;
+    pipelined_server_limits limits;
+    limits.idleTime = milliseconds { 200 };
+    m_server->setLimits(limits);
+    for (const bool isStopping : { false, true }) {
+        raw_client client { m_loop, m_address };
+        client.readAtRate(bytesPerMiB / 2);
+        client.send(get("/a"));
+        ASSERT_TRUE(waitFor([this] { return m_requestIds.count("/a") == 1; }));
+        const std::string body(32 * bytesPerMiB, 'x');
+        if (isStopping)
+            m_server->startDraining();
+        m_server->answer(m_requestIds.at("/a"), opaque_response { 200, {}, body });
+        m_requestIds.clear();
+        m_server->closeIdle();
+        EXPECT_TRUE(waitFor([&] { return client.received().size() > body.size() || client.isClosed(); }));
+        EXPECT_GT(client.received().size(), body.size()) << isStopping;
+    }
+}
+
+// Guards against memory that clients hold by reading nothing.
+TEST_F(pipelined_server_test, ClosesConnectionsWhoseClientReadsNothing)
+{
+    pipelined_server_limits limits;
+    limits.idleTime = milliseconds { 200 };
+    m_server->setLimits(limits);
+    raw_client client { m_loop, m_address };
+    client.readAtRate(1);
+    client.send(get("/a"));
+    ASSERT_TRUE(waitFor([this] { return m_requestIds.count("/a") == 1; }));
+    m_server->answer(m_requestIds.at("/a"), opaque_response { 200, {}, std::string(std::size_t { 32 } << 20U, 'x') });
+    EXPECT_TRUE(waitFor([this] { return m_server->connectionCount() == 0; }));
+    EXPECT_EQ(m_server->bufferedBytes(), 0U);
+}
+
 } // namespace knapweedcroft
