Answer pipelined requests before a planned stop closes their connection

Here a stop made the first answer of a connection the closing one, and the pipelined requests behind it, which had been passed on, were cancelled while upstreams ran them.

While draining, the node now reads nothing more once it answers on a connection, and the last answer that is due there closes it. Responses are serialized when they are written, since only then it is known which is last.

AnswersWhatItHasReadBeforeItClosesWhileDraining failed before: the answer to the second request never came.

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -220,8 +220,8 @@
         m_metrics.record(isOwn ? "own_answer_latency" : "answer_latency", m_clock.now() - position->second);
         m_arrivalTimes.erase(position);
     }
-    if (const opaque_response* response = std::get_if<opaque_response>(&action.answer)) {
-        m_server.answer(action.handle, *response);
+    if (opaque_response* response = std::get_if<opaque_response>(&action.answer)) {
+        m_server.answer(action.handle, std::move(*response));
         return;
     }
     const local_answer& own = std::get<local_answer>(action.answer);
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -36,15 +36,17 @@
     connection& operator=(const connection&) = delete;
     ~connection() { m_server.m_bufferedBytes -= m_bufferedBytes; }
 
-    void answer(std::uint64_t requestId, const opaque_response& response, bool shouldClose)
+    void answer(std::uint64_t requestId, opaque_response response, bool shouldClose)
     {
         for (pipelined_request& entry : m_pipeline) {
             if (entry.id != requestId)
                 continue;
-            entry.shouldClose = shouldClose || m_server.m_isDraining || !entry.isKeepAlive;
-            entry.response = serialize(response, entry.method, entry.shouldClose);
+            entry.shouldClose = shouldClose || !entry.isKeepAlive;
+            entry.response = std::move(response);
+            entry.responseBytes = entry.response.body.size();
+            addBufferedBytes(entry.responseBytes);
             entry.isAnswered = true;
-            addBufferedBytes(entry.response.size());
+            break;
         }
         flush();
     }
@@ -59,8 +61,9 @@
     struct pipelined_request {
         std::uint64_t id = 0;
         std::string method;
-        std::string response;
+        opaque_response response;
         std::size_t requestBytes = 0;
+        std::size_t responseBytes = 0; /*!< Of the body. */
         bool isKeepAlive = true;
         bool isAnswered = false;
         bool shouldClose = false;
@@ -182,8 +185,8 @@
         pipelined_request entry;
         entry.isAnswered = true;
         entry.shouldClose = true;
-        entry.response = serialize(m_server.m_handlers.makeErrorResponse(fault), "GET", true);
-        addBufferedBytes(entry.response.size());
+        entry.method = "GET";
+        entry.response = m_server.m_handlers.makeErrorResponse(fault);
         m_hasStoppedReading = true;
         m_pipeline.push_back(std::move(entry));
         flush();
@@ -196,9 +199,12 @@
             m_pipeline.pop_front();
             m_server.m_pending.erase(front.id);
             subtractBufferedBytes(front.requestBytes);
-            m_unflushedSizes.push_back(front.response.size());
-            write(front.response);
-            if (front.shouldClose)
+            // Requests behind this one have been passed on, so while draining only the last answer closes.
+            m_hasStoppedReading = m_hasStoppedReading || m_server.m_isDraining;
+            const bool isLast = front.shouldClose || (m_server.m_isDraining && m_pipeline.empty());
+            m_unflushedSizes.push_back(front.responseBytes);
+            write(serialize(front.response, front.method, isLast));
+            if (isLast)
                 startClosing();
         }
         if (m_hasWrittenLast || !m_pipeline.empty())
@@ -370,11 +376,11 @@
         position->second->read();
 }
 
-void pipelined_server::answer(std::uint64_t requestId, const opaque_response& response, bool shouldClose)
+void pipelined_server::answer(std::uint64_t requestId, opaque_response response, bool shouldClose)
 {
     const auto position = m_pending.find(requestId);
     if (position != m_pending.end())
-        position->second->answer(requestId, response, shouldClose);
+        position->second->answer(requestId, std::move(response), shouldClose);
 }
 
 void pipelined_server::closeIdle()
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -79,9 +79,13 @@
      * @param response Response to send.
      * @param shouldClose Whether to close the connection after the response; later requests on it are aborted.
      */
-    void answer(std::uint64_t requestId, const opaque_response& response, bool shouldClose = false);
+    void answer(std::uint64_t requestId, opaque_response response, bool shouldClose = false);
 
-    /** @brief Makes each further response close its connection, so that clients reconnect to another node. */
+    /**
+     * @brief Makes the next response of each connection the last one, so that clients reconnect to another node.
+     *
+     * Pipelined requests that have been dispatched by then are still answered; later ones are left unread.
+     */
     void startDraining() { m_isDraining = true; }
 
     /** @brief Closes the connections that have no unanswered, no partly received request and no unsent response. */
--- a/test/knapweedcroft/http/pipelined_server.cpp
+++ b/test/knapweedcroft/http/pipelined_server.cpp
@@ -202,6 +202,28 @@
     EXPECT_NE(busy.received().find("answer to /1"), std::string::npos);
 }
 
+// Guards against a planned stop that cuts requests which upstreams are running: those behind the first answer of a
+// connection (LOST). What the client sends after that answer is left unread, so that it may send it elsewhere.
+TEST_F(pipelined_server_test, AnswersWhatItHasReadBeforeItClosesWhileDraining)
+{
+    raw_client client { m_loop, m_address };
+    client.send(get("/1") + get("/2") + get("/3"));
+    ASSERT_TRUE(waitFor([this] { return m_requestIds.size() == 3; }));
+    m_server->startDraining();
+    answer("/2");
+    answer("/1");
+    ASSERT_TRUE(waitFor([&client] { return client.received().find("answer to /2") != std::string::npos; }));
+    client.send(get("/4"));
+    m_loop.runUntil([] { return false; }, milliseconds { 50 });
+    EXPECT_FALSE(client.isClosed());
+    EXPECT_EQ(client.received().find("Connection: close"), std::string::npos);
+    answer("/3");
+    ASSERT_TRUE(waitFor([&client] { return client.isClosed(); }));
+    EXPECT_LT(client.received().find("Connection: close"), client.received().find("answer to /3"));
+    EXPECT_TRUE(m_aborted.empty());
+    EXPECT_EQ(m_requestIds.size(), 3U);
+}
+
 TEST_F(pipelined_server_test, LeavesOutTheBodyOfAnAnswerToHead)
 {
     raw_client client { m_loop, m_address };
