--- a/test/platform/endless_responses.cpp
+++ b/test/platform/endless_responses.cpp
@@ -19,12 +19,18 @@
 constexpr milliseconds testTimeout { 20'000 };
 constexpr int okStatus = 200;
 
+struct endless_shape {
+    const char* name;
+    std::string head;
+    std::string repeated;
+};
+
 // One process of the real program beside an upstream whose responses do not end.
-class endless_responses_test : public testing::Test {
+class endless_responses_test : public testing::TestWithParam<endless_shape> {
 protected:
     event_loop m_loop;
     fake_store m_store { m_loop };
-    endless_server m_upstream { m_loop, "HTTP/1.1 200 OK\r\n\r\n", std::string(std::size_t { 64 } * 1024, 'x') };
+    endless_server m_upstream { m_loop, GetParam().head, GetParam().repeated };
     exchange_client m_clients { m_loop, exchange_client_settings {} };
     gateway_process m_node { m_loop, m_store,
         { "n1", loopbackNetwork() + "240", "shop", m_upstream.address(), memoryMiB } };
@@ -32,8 +38,9 @@
 
 } // namespace
 
-// Guards against a node that is killed for its memory because an upstream sends bodies without end.
-TEST_F(endless_responses_test, KeepTheProcessWithinItsMemory)
+// Guards against a node that is killed for its memory, with the requests of all its clients, because an upstream sends
+// bytes without end: a body, a header, interim responses, or nothing that is a response.
+TEST_P(endless_responses_test, KeepTheProcessWithinItsMemory)
 {
     m_store.append("keyed.op", { "config", makeLookConfiguration("shop", true, 1048576) });
     ASSERT_TRUE(m_node.waitUntil([this] { return m_node.isReady(); }));
@@ -60,4 +67,12 @@
     EXPECT_TRUE(m_node.isReady());
 }
 
+INSTANTIATE_TEST_SUITE_P(Shapes, endless_responses_test,
+    testing::Values(endless_shape { "Body", "HTTP/1.1 200 OK\r\n\r\n", std::string(std::size_t { 64 } * 1024, 'x') },
+        endless_shape { "Header", "HTTP/1.1 200 OK\r\n", "A: " + std::string(std::size_t { 64 } * 1024, 'x') + "\r\n" },
+        endless_shape { "StatusLine", "HTTP/1.1 200 ", std::string(std::size_t { 64 } * 1024, 'x') },
+        endless_shape { "InterimResponses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        endless_shape { "NoResponse", "", std::string(std::size_t { 64 } * 1024, '\0') }),
+    [](const testing::TestParamInfo<endless_shape>& shape) { return std::string { shape.param.name }; });
+
 } // namespace knapweedcroft::platform
