Bound the input that a server reads ahead of its requests

Found beside the report of bytes without end: a client that goes on sending while its pipelined requests are run, or behind Connection: close, filled the input buffer without a bound. Reading now stops while more than a header section waits, and what will not be read any more is dropped, so that the close of the client is still noticed.

KeepsNoInputBeyondTheRequestsInProgress failed before: the server had read the 64 MiB that the client sent.

--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -18,6 +18,8 @@
 namespace internal {
 
 static constexpr int listenBacklog = 1024;
+// Input that is read ahead of the parser, beside a header section.
+static constexpr std::size_t maxReadAhead = std::size_t { 64 } * 1024;
 
 } // namespace internal
 
@@ -119,6 +121,20 @@
             else if (consumed == 0)
                 break;
         }
+        limitInput();
+    }
+
+    // Drops what will never be read, and stops reading while more waits than a header section.
+    void limitInput()
+    {
+        evbuffer* input = bufferevent_get_input(m_stream.get());
+        if (m_hasStoppedReading)
+            evbuffer_drain(input, evbuffer_get_length(input));
+        const std::size_t limit = m_server.m_limits.message.maxHeaderBytes + internal::maxReadAhead;
+        if (evbuffer_get_length(input) > limit)
+            bufferevent_disable(m_stream.get(), EV_READ);
+        else
+            bufferevent_enable(m_stream.get(), EV_READ);
     }
 
     void startRequest()
--- a/test/knapweedcroft/http/pipelined_server.cpp
+++ b/test/knapweedcroft/http/pipelined_server.cpp
@@ -52,6 +52,10 @@
         m_rate.reset(ev_token_bucket_cfg_new(bytesPerTick, bytesPerTick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick));
         bufferevent_set_rate_limit(m_stream.get(), m_rate.get());
     }
+    [[nodiscard]] std::size_t unsentBytes() const
+    {
+        return evbuffer_get_length(bufferevent_get_output(m_stream.get()));
+    }
     [[nodiscard]] const std::string& received() const { return m_received; }
     [[nodiscard]] bool isClosed() const { return m_isClosed; }
 
@@ -259,6 +263,27 @@
     }
 }
 
+// Guards against memory that a client fills by sending on while its requests are being run.
+TEST_F(pipelined_server_test, KeepsNoInputBeyondTheRequestsInProgress)
+{
+    const std::string junk(std::size_t { 64 } << 20U, 'x');
+    pipelined_server_limits limits;
+    limits.maxPipelined = 1;
+    m_server->setLimits(limits);
+    raw_client paused { m_loop, m_address };
+    paused.send(get("/paused") + junk);
+    ASSERT_TRUE(waitFor([this] { return m_requestIds.count("/paused") == 1; }));
+    m_loop.runUntil([] { return false; }, milliseconds { 500 });
+    EXPECT_GT(paused.unsentBytes(), junk.size() / 2);
+    raw_client closing { m_loop, m_address };
+    closing.send("GET /closing HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + junk);
+    ASSERT_TRUE(waitFor([this] { return m_requestIds.count("/closing") == 1; }));
+    ASSERT_TRUE(waitFor([&closing] { return closing.unsentBytes() == 0; })) << "what is not read is dropped";
+    answer("/closing");
+    EXPECT_TRUE(waitFor([&closing] { return closing.isClosed(); }));
+    EXPECT_NE(closing.received().find("answer to /closing"), std::string::npos);
+}
+
 // Guards against memory that clients hold by reading nothing.
 TEST_F(pipelined_server_test, ClosesConnectionsWhoseClientReadsNothing)
 {
