--- a/test/platform/slow_clients.cpp
+++ b/test/platform/slow_clients.cpp
@@ -62,8 +62,10 @@
         raw_client& client = clients.emplace_back(m_loop, m_node.clientAddress());
         client.readAtRate(bytesPerMiB / 50);
         const std::string id = "r" + std::to_string(number);
-        client.send("GET /look/" + id + " HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: " + id
-            + "\r\nX-Deadline-Ms: 4000\r\n\r\n");
+        std::string request { "GET /look/" };
+        request.append(id).append(" HTTP/1.1\r\nHost: farm.example\r\nX-Deadline-Ms: 4000\r\nX-Request-Id: ");
+        request.append(id).append("\r\n\r\n");
+        client.send(request);
     }
     std::size_t maxResidentBytes = 0;
     const auto isWhole = [](const raw_client& client) { return client.received().size() > bodyBytes; };
