Share the set-up of the leave tests and the cuts of the parser tests

Two tests of leaves set up the same deployment, and two tests of parsers cut the same bodies. Each pair now has one piece of code; the assertions stay, and the test of the successor also expects the leave to be acknowledged.

--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -765,6 +765,23 @@
     return events;
 }
 
+// Nodes on a store whose upstream beside node a has left with an acknowledgement; the store's copy is from before.
+class left_deployment {
+public:
+    left_deployment(const leave_event& way, std::int64_t startedAt)
+    {
+        group.upstreamStartedAt = startedAt;
+        addLeaveNodes(group);
+        group.takeCopy();
+        way.apply(group);
+        group.run(milliseconds { 800 });
+        const std::vector<leave_verdict>& verdicts = group.leaveVerdicts("a");
+        EXPECT_TRUE(!verdicts.empty() && verdicts.back().isAcknowledged) << way.name;
+    }
+
+    gateway_group group { makeReadAndBookTable() };
+};
+
 } // namespace
 
 // Guards against gaps between the mechanisms that keep an acknowledged leave: each pair of the events that it outlives,
@@ -775,21 +792,14 @@
         for (const leave_event& way : leaveWays()) {
             for (const leave_event& first : leaveEvents()) {
                 for (const leave_event& second : leaveEvents()) {
-                    gateway_group group { makeReadAndBookTable() };
-                    group.upstreamStartedAt = startedAt;
-                    addLeaveNodes(group);
-                    group.takeCopy();
-                    way.apply(group);
-                    group.run(milliseconds { 800 });
-                    ASSERT_FALSE(group.leaveVerdicts("a").empty());
-                    ASSERT_TRUE(group.leaveVerdicts("a").back().isAcknowledged);
-                    const std::size_t before = group.exchanges("a").size();
-                    first.apply(group);
-                    group.run(milliseconds { 200 });
-                    second.apply(group);
-                    group.run(milliseconds { 3000 });
-                    sendReads(group);
-                    EXPECT_EQ(group.exchanges("a").size(), before)
+                    left_deployment left { way, startedAt };
+                    const std::size_t before = left.group.exchanges("a").size();
+                    first.apply(left.group);
+                    left.group.run(milliseconds { 200 });
+                    second.apply(left.group);
+                    left.group.run(milliseconds { 3000 });
+                    sendReads(left.group);
+                    EXPECT_EQ(left.group.exchanges("a").size(), before)
                         << way.name << "; " << first.name << "; " << second.name << "; started at " << startedAt;
                 }
             }
@@ -803,24 +813,20 @@
     for (const std::int64_t startedAt : { 0, 1 }) {
         for (const leave_event& way : leaveWays()) {
             for (const leave_event& event : leaveEvents()) {
-                gateway_group group { makeReadAndBookTable() };
-                group.upstreamStartedAt = startedAt;
-                addLeaveNodes(group);
-                group.takeCopy();
-                way.apply(group);
-                group.run(milliseconds { 800 });
-                event.apply(group);
-                group.run(milliseconds { 2000 });
-                const std::size_t before = group.exchanges("a").size();
+                left_deployment left { way, startedAt };
+                event.apply(left.group);
+                left.group.run(milliseconds { 2000 });
                 upstream_announcement next;
                 next.incarnation = { "next at a", startedAt == 0 ? 0 : startedAt + 2 };
                 next.service = "visits";
                 next.address = "127.0.0.1:1";
                 next.slots = 4;
-                group.handle("a", announcement_received { next });
-                group.run(milliseconds { 100 });
-                sendReads(group);
-                EXPECT_GT(group.exchanges("a").size(), before) << way.name << "; " << event.name << "; " << startedAt;
+                const std::size_t before = left.group.exchanges("a").size();
+                left.group.handle("a", announcement_received { next });
+                left.group.run(milliseconds { 100 });
+                sendReads(left.group);
+                EXPECT_GT(left.group.exchanges("a").size(), before)
+                    << way.name << "; " << event.name << "; " << startedAt;
             }
         }
     }
--- a/test/knapweedcroft/http/parser_input.hpp
+++ b/test/knapweedcroft/http/parser_input.hpp
@@ -1,7 +1,11 @@
 #ifndef KNAPWEEDCROFT_TEST_HTTP_PARSER_INPUT_HPP
 #define KNAPWEEDCROFT_TEST_HTTP_PARSER_INPUT_HPP
 
+#include <gtest/gtest.h>
+
 #include <cstddef>
+#include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -30,6 +34,26 @@
     }
 }
 
+/**
+ * @brief Expects a parser to complete each of the chunked bodies in three pieces, whichever they are.
+ * @param header Header section of the message.
+ * @param makeParser Returns a new parser.
+ */
+template <typename Parser>
+void expectWholeBodiesInPieces(const std::string& header, const std::function<std::unique_ptr<Parser>()>& makeParser)
+{
+    for (const std::string& body : chunkedBodies()) {
+        const std::string text = header + body;
+        for (std::size_t first = header.size(); first < text.size(); ++first) {
+            for (std::size_t second = first; second < text.size(); ++second) {
+                const std::unique_ptr<Parser> parser = makeParser();
+                feed(*parser, { text.substr(0, first), text.substr(first, second - first), text.substr(second) });
+                ASSERT_TRUE(parser->isDone()) << body << " cut at " << first << " and " << second;
+            }
+        }
+    }
+}
+
 } // namespace knapweedcroft
 
 #endif
--- a/test/knapweedcroft/http/request_parser.cpp
+++ b/test/knapweedcroft/http/request_parser.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -85,17 +86,8 @@
 // Guards against the end of the process: Beast asserts that the last chunk is not read again before its end has come.
 TEST(RequestParser, ReadsALastChunkThatArrivesInPieces)
 {
-    const std::string header = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string& body : chunkedBodies()) {
-        const std::string text = header + body;
-        for (std::size_t first = header.size(); first < text.size(); ++first) {
-            for (std::size_t second = first; second < text.size(); ++second) {
-                request_parser parser { message_limits {} };
-                feed(parser, { text.substr(0, first), text.substr(first, second - first), text.substr(second) });
-                ASSERT_TRUE(parser.isDone()) << body << " cut at " << first << " and " << second;
-            }
-        }
-    }
+    expectWholeBodiesInPieces<request_parser>("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        [] { return std::make_unique<request_parser>(message_limits {}); });
 }
 
 TEST(RequestParser, BoundsHeaderAndBody)
--- a/test/knapweedcroft/http/response_parser.cpp
+++ b/test/knapweedcroft/http/response_parser.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 
 namespace knapweedcroft {
@@ -11,17 +12,8 @@
 // Guards against the end of the process: Beast asserts that the last chunk is not read again before its end has come.
 TEST(ResponseParser, ReadsALastChunkThatArrivesInPieces)
 {
-    const std::string header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string& body : chunkedBodies()) {
-        const std::string text = header + body;
-        for (std::size_t first = header.size(); first < text.size(); ++first) {
-            for (std::size_t second = first; second < text.size(); ++second) {
-                response_parser parser { message_limits {}, false };
-                feed(parser, { text.substr(0, first), text.substr(first, second - first), text.substr(second) });
-                ASSERT_TRUE(parser.isDone()) << body << " cut at " << first << " and " << second;
-            }
-        }
-    }
+    expectWholeBodiesInPieces<response_parser>("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        [] { return std::make_unique<response_parser>(message_limits {}, false); });
 }
 
 // Guards against a backend in trouble whose response has no valid status code: passed on, it would reach the client as
