Remove serialize, and name the type of a map's insertion

Nothing calls serialize any more: requests since they move their bodies, and responses since message_writer. departed_upstreams::insert used auto for more than an iterator.

--- a/src/knapweedcroft/gateway/departed_upstreams.cpp
+++ b/src/knapweedcroft/gateway/departed_upstreams.cpp
@@ -6,9 +6,10 @@
 
 void departed_upstreams::insert(const upstream_incarnation& upstream)
 {
-    const auto [position, isNew] = m_latestStarts.emplace(upstream.id, upstream.startedAt);
-    position->second = std::max(position->second, upstream.startedAt);
-    if (!isNew)
+    const bool isKnown = m_latestStarts.count(upstream.id) != 0;
+    std::int64_t& latestStart = m_latestStarts[upstream.id];
+    latestStart = std::max(latestStart, upstream.startedAt);
+    if (isKnown)
         return;
     m_order.push_back(upstream.id);
     if (m_order.size() > maxSize) {
--- a/src/knapweedcroft/http/message.cpp
+++ b/src/knapweedcroft/http/message.cpp
@@ -66,8 +66,6 @@
     return kept;
 }
 
-std::string serialize(const opaque_request& request) { return serializeHead(request).append(request.body); }
-
 std::string serializeHead(const opaque_request& request)
 {
     std::string text;
@@ -89,14 +87,6 @@
     return requestMethod != "HEAD" && !internal::hasNoBody(response.status);
 }
 
-std::string serialize(const opaque_response& response, std::string_view requestMethod, bool shouldClose)
-{
-    std::string text = serializeHead(response, requestMethod, shouldClose);
-    if (hasBody(response, requestMethod))
-        text.append(response.body);
-    return text;
-}
-
 std::string serializeHead(const opaque_response& response, std::string_view requestMethod, bool shouldClose)
 {
     const bool isHead = requestMethod == "HEAD";
--- a/src/knapweedcroft/http/message.hpp
+++ b/src/knapweedcroft/http/message.hpp
@@ -60,25 +60,19 @@
 [[nodiscard]] bool hasToken(std::string_view value, std::string_view token);
 
 /**
- * @brief Serializes a request.
- * @return Request line, headers and body. `Content-Length` is set from the body, except that GET, HEAD and DELETE
- * without a body have none. No `Connection` header is added.
+ * @brief Serializes a request without its body.
+ * @return Request line and headers. `Content-Length` is set from the body, except that GET, HEAD and DELETE without a
+ * body have none. No `Connection` header is added.
  */
-[[nodiscard]] std::string serialize(const opaque_request& request);
-
-/** @brief Serializes a request without its body, in the same way. */
 [[nodiscard]] std::string serializeHead(const opaque_request& request);
 
 /**
- * @brief Serializes a response.
+ * @brief Serializes a response without its body.
  * @param response The response.
  * @param requestMethod Method of the request; a response to HEAD is written without its body.
  * @param shouldClose Whether to add `Connection: close`.
- * @return Status line, headers and body, with a `Content-Length` where the status allows a body.
+ * @return Status line and headers, with a `Content-Length` where the status allows a body.
  */
-[[nodiscard]] std::string serialize(const opaque_response& response, std::string_view requestMethod, bool shouldClose);
-
-/** @brief Serializes a response without its body, in the same way. */
 [[nodiscard]] std::string serializeHead(
     const opaque_response& response, std::string_view requestMethod, bool shouldClose);
 
