Let one large response go on until it ends

Cause: the log named "the responses in progress exceed bytes". While they take more than half of the limit, only the longest may go on, and it was chosen anew at each read. Responses of the same length passed each other in turn, so all went on. Each resumption also let every paused response read some bytes.

The chosen response now keeps its turn until it ends, and a resumption leaves paused what may not go on.

The test prints the node's log when it fails.

--- a/src/knapweedcroft/http/exchange_client.cpp
+++ b/src/knapweedcroft/http/exchange_client.cpp
@@ -359,20 +359,30 @@
     resumeReading();
 }
 
-// Each resumed exchange decides anew at its next bytes.
 void exchange_client::resumeReading()
 {
     if (m_isPaused || !std::exchange(m_hasPausedExchanges, false))
         return;
-    for (const std::pair<const std::uint64_t, std::unique_ptr<connection>>& item : m_active)
-        item.second->resumeReading();
+    for (const std::pair<const std::uint64_t, std::unique_ptr<connection>>& item : m_active) {
+        // An exchange that may not go on yet would read some bytes at each resumption until the limit is exceeded.
+        if (shouldPause(*item.second))
+            m_hasPausedExchanges = true;
+        else
+            item.second->resumeReading();
+    }
 }
 
 bool exchange_client::shouldPause(const connection& target)
 {
     if (target.bufferedBytes() <= internal::minPausedBytes)
         return false;
-    return m_isPaused || (m_bufferedBytes > m_settings.maxBufferedBytes / 2 && &target != &largest());
+    if (m_isPaused || m_bufferedBytes <= m_settings.maxBufferedBytes / 2)
+        return m_isPaused;
+    // It goes on until it ends: if the largest one always did, responses of the same length would pass each other and
+    // exceed the limit together.
+    if (m_active.count(m_preferredExchange) == 0)
+        m_preferredExchange = largest().exchangeId();
+    return target.exchangeId() != m_preferredExchange;
 }
 
 void exchange_client::finish(connection& ended, exchange_outcome outcome, bool isReusable)
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -130,6 +130,7 @@
     std::size_t m_bufferedBytes = 0;
     bool m_isPaused = false;
     bool m_hasPausedExchanges = false;
+    std::uint64_t m_preferredExchange = 0; /*!< Reads on while all other large responses wait. */
     std::shared_ptr<bool> m_isAlive;
     std::uint64_t m_lastExchangeId = 0;
 };
--- a/test/knapweedcroft/http/exchange_client.cpp
+++ b/test/knapweedcroft/http/exchange_client.cpp
@@ -380,4 +380,33 @@
     EXPECT_TRUE(std::holds_alternative<opaque_response>(*proper));
 }
 
+// Guards against paused responses that read on a little at each resumption, until one is broken off for the limit of
+// all.
+TEST_F(exchange_client_test, KeepsResponsesPausedWhenReadingIsResumedOften)
+{
+    constexpr std::size_t count = 8;
+    const std::string body(std::size_t { 1024 } * 1024, 'x');
+    exchange_client_settings settings;
+    settings.maxBufferedBytes = 4 * body.size();
+    exchange_client client { m_loop, settings };
+    m_server.script.assign(count, { response("1", body) });
+    std::size_t successes = 0;
+    std::size_t failures = 0;
+    for (std::size_t number = 0; number < count; ++number) {
+        client.start(
+            m_server.address(), opaque_request { "GET", "/", {}, "" },
+            [](const opaque_response&) { return response_relation::answer; },
+            [&](const exchange_outcome& outcome) {
+                ++(std::holds_alternative<opaque_response>(outcome) ? successes : failures);
+            });
+    }
+    EXPECT_TRUE(m_loop.runUntil(
+        [&] {
+            client.setPaused(false);
+            return successes + failures == count;
+        },
+        milliseconds { 10'000 }));
+    EXPECT_EQ(failures, 0U);
+}
+
 } // namespace knapweedcroft
--- a/test/platform/slow_clients.cpp
+++ b/test/platform/slow_clients.cpp
@@ -78,7 +78,8 @@
                 [&](const raw_client& client) { return isWhole(client) || isTimedOut(client); });
         },
         milliseconds { 20'000 });
-    EXPECT_TRUE(areAllAnswered) << std::count_if(clients.begin(), clients.end(), isWhole) << " answers are whole";
+    EXPECT_TRUE(areAllAnswered) << std::count_if(clients.begin(), clients.end(), isWhole) << " answers are whole\n"
+                                << m_node.process().output();
     for (const raw_client& client : clients) {
         EXPECT_TRUE(isWhole(client) || isTimedOut(client))
             << client.received().size() << client.isClosed() << " " << client.received().substr(0, 300);
