Free the room of large bodies that are lost with their link

Callers may see refusals for lack of room at an upstream that runs nothing: a granted request that is lost while its link is replaced keeps its reservation until the link to that peer closes.

Cause: only offers that were still open were cancelled at the peer; a request that had been granted counts as sent, and nobody told the peer that it ended.

Every request that was offered is now cancelled at its peer when it is lost.

gateway_core_test.FreesTheRoomOfALargeBodyThatIsLost failed before (1,048,576 bytes reserved after the loss) and passes now with the 30 others of its group.

--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -176,6 +176,11 @@
     send(id, candidates[*chosen], hasAlternative, now, actions);
 }
 
+bool origin_requests::needsOffer(const origin_request& request) const
+{
+    return request.node != m_settings.node && request.request.body.size() > maxUnofferedBytes;
+}
+
 void origin_requests::send(
     std::uint64_t id, const upstream_candidate& target, bool hasAlternative, time_point now, gateway_actions& actions)
 {
@@ -186,7 +191,7 @@
     if (target.data_centre != m_settings.data_centre)
         ++m_counters.crossDataCentre;
     request.hasAlternative = hasAlternative;
-    request.isOffered = target.node != m_settings.node && request.request.body.size() > maxUnofferedBytes;
+    request.isOffered = needsOffer(request);
     if (request.isOffered)
         actions.emplace_back(send_to_peer {
             target.node, forward_offer { call_id { id }, request.service, request.request.body.size() } });
@@ -396,10 +401,10 @@
         const auto position = m_requests.find(id);
         if (position == m_requests.end() || position->second.node != event.peer)
             continue;
-        const bool isOffered = std::exchange(position->second.isOffered, false);
-        if (isOffered)
+        // The peer keeps its reservation until it learns that the request has ended.
+        if (needsOffer(position->second))
             actions.emplace_back(send_to_peer { event.peer, cancel_message { call } });
-        const bool isUnwritten = isOffered || unwritten.count(call) != 0;
+        const bool isUnwritten = std::exchange(position->second.isOffered, false) || unwritten.count(call) != 0;
         m_upstreamSelector.recordEnd(event.peer, position->second.entry->name, std::nullopt, now);
         if (isUnwritten)
             handleRefusal(
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -141,6 +141,7 @@
     void selectAndSend(std::uint64_t id, time_point now, gateway_actions& actions);
     void send(std::uint64_t id, const upstream_candidate& target, bool hasAlternative, time_point now,
         gateway_actions& actions);
+    [[nodiscard]] bool needsOffer(const origin_request& request) const;
     void sendRequest(std::uint64_t id, time_point now, gateway_actions& actions);
     [[nodiscard]] std::vector<upstream_candidate> candidatesFor(const origin_request& request, time_point now) const;
     void setDigest(origin_request& request) const;
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -556,6 +556,32 @@
     EXPECT_EQ(m_group.exchanges(other(peer)).size(), 1U);
 }
 
+// Guards against memory that stays reserved for a granted request that is lost when its link is replaced.
+TEST_F(gateway_core_test, FreesTheRoomOfALargeBodyThatIsLost)
+{
+    const auto sentBy = [this](const std::string& node, const gateway_event& event) {
+        const gateway_actions actions = m_group.core(node).handle(event, m_group.now(), m_group.now());
+        return std::get<send_to_peer>(*std::find_if(actions.begin(), actions.end(),
+            [](const gateway_action& action) { return std::holds_alternative<send_to_peer>(action); }));
+    };
+    client_request event;
+    event.handle = 5000;
+    event.host = "h";
+    event.requestId = "5000";
+    event.deadline = milliseconds { 1000 };
+    event.request = { "POST", "/book/x", {}, std::string(std::size_t { 1 } << 20U, 'b') };
+    const send_to_peer offer = sentBy("c", event);
+    const send_to_peer grant = sentBy(offer.peer, message_received { "c", offer.message });
+    const send_to_peer request = sentBy("c", message_received { offer.peer, grant.message });
+    const auto reserved = [this, &offer] {
+        return m_group.core(offer.peer).describe()["served_requests"]["reserved_bytes"].get<std::size_t>();
+    };
+    EXPECT_EQ(reserved(), event.request.body.size());
+    m_group.handle("c", calls_lost { offer.peer, { std::get<forward_request>(request.message).id }, {} });
+    m_group.run(milliseconds { 1 });
+    EXPECT_EQ(reserved(), 0U);
+}
+
 // Guards against nodes that wait for an announcement although the upstream says in its answers that it leaves.
 TEST_F(gateway_core_test, SendsNothingToAnUpstreamThatSaysItLeaves)
 {
