Charge the calls of retries to the retry budget

Cause: a retry runs the whole request again with its calls, and the nodes that sent these calls counted them as first attempts. They were not charged and even raised the limit, so each level of the call tree added its retries to those above.

forward_request now says whether the request, or one that caused it, has reached an upstream before. Calls do not name their request but expire with it, so the node beside the caller recognizes them by their deadline, charges them to the budget of the called service and passes the mark on. By induction the retries of each level, with those that it inherits, stay within its budget.

--- a/src/knapweedcroft/gateway/local_retry_budget.cpp
+++ b/src/knapweedcroft/gateway/local_retry_budget.cpp
@@ -29,6 +29,13 @@
     used.firstAttempts.push_back(now);
 }
 
+void local_retry_budget::recordInheritedRetry(const service_name& service, time_point now)
+{
+    service_usage& used = m_usageByService[service];
+    removeExpired(used, now);
+    used.retries.push_back(now);
+}
+
 bool local_retry_budget::spend(const service_name& service, time_point now)
 {
     service_usage& used = m_usageByService[service];
--- a/src/knapweedcroft/gateway/local_retry_budget.hpp
+++ b/src/knapweedcroft/gateway/local_retry_budget.hpp
@@ -26,7 +26,8 @@
  * @brief One node's share of the retry budget of each service; keeps the global limit without coordination.
  *
  * A node retries at most `ratio` times the first attempts that it made within the last window, plus its part of the
- * slack. Summed over all nodes, the limit holds in every window, however the load is distributed.
+ * slack, less the calls of retries that it has sent. Summed over all nodes, the limit holds in every window, however
+ * the load is distributed.
  */
 class local_retry_budget {
 public:
@@ -48,6 +49,9 @@
     /** @brief Records the first attempt of a request. */
     void recordFirstAttempt(const service_name& service, time_point now);
 
+    /** @brief Charges a call that the retry of its caller has caused, whatever is left of the budget. */
+    void recordInheritedRetry(const service_name& service, time_point now);
+
     /**
      * @brief Charges a retry to the budget.
      * @return False if the budget is exhausted; nothing is charged then.
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -90,7 +90,12 @@
     request.request = std::move(event.request);
     m_served.recordArrival(request.entry->name, now);
     m_retryBudget.setNodeCount(static_cast<std::uint32_t>(m_directory.nodes().size()) + 1);
-    m_retryBudget.recordFirstAttempt(request.service, now);
+    // At each level of a call tree, the calls of retries count as retries, so that the levels do not add up theirs.
+    request.isCallOfRetry = event.deadline && m_served.isCallOfRetry(request.clientDeadline);
+    if (request.isCallOfRetry)
+        m_retryBudget.recordInheritedRetry(request.service, now);
+    else
+        m_retryBudget.recordFirstAttempt(request.service, now);
     selectAndSend(id, now, actions);
 }
 
@@ -220,6 +225,7 @@
     message.requestId = request.requestId;
     message.rank = entry.rank;
     message.hasAlternative = request.hasAlternative;
+    message.isRetry = request.isCallOfRetry || request.upstreamAttempts > 0;
     message.deadline = request.deadline - now;
     message.target = entry.targetLatency - (now - request.arrival);
     if (request.request.body.size() > maxForwardedBytes) {
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -124,6 +124,7 @@
         std::optional<std::uint64_t> digest; /*!< Of the content; set when it is first needed. */
         bool hasAlternative = false; /*!< Another upstream may be tried after the latest one. */
         bool isOffered = false; /*!< The node has been asked for room, and nothing has been sent yet. */
+        bool isCallOfRetry = false; /*!< Call of a run that was itself a retry. */
         bool isBodyHandedOver = false; /*!< `request` was not kept, so it cannot be sent again. */
         time_point arrival;
         time_point clientDeadline; /*!< Time at which the client stops waiting. */
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -14,6 +14,9 @@
 static constexpr milliseconds unavailableRetryAfter { 300 }; // A restarted upstream announces itself within this time.
 // About the time in which the suspected content that is running ends.
 static constexpr milliseconds suspectRetryAfter { 300 };
+// A call gives its deadline in whole milliseconds and arrives a little later than it was sent.
+static constexpr milliseconds maxDeadlineLead { 5 };
+static constexpr milliseconds maxDeadlineLag { 20 };
 static constexpr double loggedRateChange = 0.25; // Share by which a rate changes before it is logged again.
 
 [[nodiscard]] static bool isSuccess(int status)
@@ -160,6 +163,12 @@
         m_callDependence.recordCall(now);
 }
 
+bool served_requests::isCallOfRetry(time_point deadline) const
+{
+    const auto position = m_retryDeadlines.lower_bound(deadline - internal::maxDeadlineLag);
+    return position != m_retryDeadlines.end() && *position <= deadline + internal::maxDeadlineLead;
+}
+
 void served_requests::recordAnswer(
     const std::string& entry, const forward_answer& answer, bool isTimely, time_point now)
 {
@@ -217,6 +226,8 @@
     request.startedAt = now;
     request.upstream = upstream.incarnation.id;
     m_callDependence.recordRequestStart(request.message.entry, now);
+    if (request.message.isRetry)
+        m_retryDeadlines.insert(request.deadline);
     start_exchange action;
     action.id = id;
     action.address = m_settings.upstreamAddress;
@@ -234,6 +245,8 @@
     served_request request = std::move(position->second);
     m_requests.erase(position);
     m_idsByPeer.erase(std::make_pair(request.peer, request.message.id));
+    if (request.startedAt && request.message.isRetry)
+        m_retryDeadlines.erase(m_retryDeadlines.find(request.deadline));
     release(request.peer, request.message.id);
     return request;
 }
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -148,6 +148,14 @@
     /** @brief Records a request received on this host, which may be a call of the upstream. */
     void recordArrival(const std::string& entry, time_point now);
 
+    /**
+     * @brief Returns true if a request received on this host is probably a call of a retry that the upstream runs.
+     *
+     * Calls do not name the request that caused them, but expire together with it.
+     * @param deadline Time at which the sender of the request stops waiting.
+     */
+    [[nodiscard]] bool isCallOfRetry(time_point deadline) const;
+
     /**
      * @brief Records the answer to a request received on this host, which may be a call of the upstream.
      * @param answer Answer; carries the admission ratio of the called service and of the services below it.
@@ -244,6 +252,7 @@
     std::unordered_map<std::string, double> m_admissionCredits; /*!< Per entry; one per admitted request. */
     request_map m_requests;
     std::map<std::pair<node_name, call_id>, std::uint64_t> m_idsByPeer;
+    std::multiset<time_point> m_retryDeadlines; /*!< Of the retries that the upstream runs. */
     std::map<std::pair<node_name, call_id>, std::size_t> m_reservations; /*!< Body bytes of granted requests. */
     std::size_t m_reservedBytes = 0; /*!< Their sum. */
     crash_detector m_crashDetector;
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -159,6 +159,8 @@
         header.add("k", kind_namer {}(value)).add("id", value.id.value()).add("s", value.service);
         header.add("c", value.caller).add("e", value.entry).add("r", value.requestId);
         header.add("p", value.rank).add("a", value.hasAlternative);
+        if (value.isRetry)
+            header.add("n", true);
         header.add("d", value.deadline.microseconds()).add("t", value.target.microseconds());
         header.add("m", value.request.method).add("u", value.request.target);
         header.add("h", toJson(value.request.headers));
@@ -568,6 +570,7 @@
     message.requestId = reader.text("r", maxTextBytes);
     message.rank = readCount(reader, "p");
     message.hasAlternative = reader.boolean("a");
+    message.isRetry = reader.has("n") && reader.boolean("n");
     message.deadline = readDuration(reader, "d");
     message.target = readDuration(reader, "t");
     message.request.method = reader.text("m", maxTextBytes);
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -171,6 +171,7 @@
     std::string requestId; /*!< Request identifier assigned by the client. */
     std::uint32_t rank = 0; /*!< Priority; zero is the highest. */
     bool hasAlternative = false; /*!< The sender can choose another upstream if this one refuses. */
+    bool isRetry = false; /*!< The request, or one that caused it, has already reached an upstream. */
     milliseconds deadline; /*!< Time remaining until the answer is no longer awaited. */
     milliseconds target; /*!< Time remaining until the latency target; negative if it has passed. */
     opaque_request request;
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -1194,6 +1194,43 @@
     EXPECT_LT(lookup.failed, 0.15 * lookup.sent);
 }
 
+// Load pattern: the upstreams of all services lose a quarter of their answers. Guards against retries that add up from
+// level to level of the call tree (BUDGET): the calls of a retry are retries for the service that they call.
+TEST(GatewayLoad, KeepsTheRetryBudgetAlongACallTree)
+{
+    const milliseconds timeout { 5000 };
+    gateway_group group { std::make_shared<const entry_table>(1,
+        std::vector<forward_entry> { makeEntry("trip", "trips", 1, true, timeout, timeout),
+            makeEntry("leg", "legs", 1, true, timeout, timeout),
+            makeEntry("seat", "seats", 1, true, timeout, timeout) },
+        client_limits {}) };
+    for (const char* service : { "trips", "legs", "seats" }) {
+        for (int number = 0; number < 4; ++number)
+            group.add(std::string { service } + "-" + std::to_string(number), service, "z1", 200);
+    }
+    group.setModel("trip", { milliseconds { 20 }, "leg", 3 });
+    group.setModel("leg", { milliseconds { 20 }, "seat", 3 });
+    group.start();
+    group.lostAnswerRatio = 0.25;
+    group.generateLoad({ { "trip", 100.0 } }, milliseconds { 20'000 });
+    const auto countFrom = [](const std::vector<time_point>& times, time_point start) {
+        return std::lower_bound(times.begin(), times.end(), start + milliseconds { 10'000 })
+            - std::lower_bound(times.begin(), times.end(), start);
+    };
+    for (const char* service : { "trips", "legs", "seats" }) {
+        const service_arrivals& arrivals = group.arrivals(service);
+        EXPECT_GT(arrivals.retries.size(), 100U) << service;
+        for (std::int64_t start = 1000; start < 11'000; start += 500) {
+            const time_point from { milliseconds { start } };
+            const double requests = static_cast<double>(std::max(
+                { countFrom(arrivals.requests, from), countFrom(arrivals.requests, from - milliseconds { 10'000 }),
+                    countFrom(arrivals.requests, from - milliseconds { 5000 }) }));
+            EXPECT_LE(static_cast<double>(countFrom(arrivals.retries, from)), 0.2 * requests + 50.0)
+                << service << " from " << start << " ms";
+        }
+    }
+}
+
 // Load pattern: the leaf service is overloaded, then the load drops. From two seconds later on, requests must succeed
 // again.
 TEST(GatewayLoad, RecoversWithinTwoSecondsOfTheOverload)
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -280,7 +280,7 @@
             onAnswer(name, *answer);
         } else if (const start_exchange* started = std::get_if<start_exchange>(&action)) {
             self.exchanges.push_back(*started);
-            ++m_executions[started->requestId];
+            recordArrival(name, *started);
             if (answersAutomatically)
                 runExchange(name, *started);
         } else if (std::holds_alternative<check_upstream>(action)) {
@@ -291,24 +291,34 @@
     }
 }
 
+void gateway_group::recordArrival(const std::string& name, const start_exchange& action)
+{
+    simulated_node& node = *m_nodes.at(name);
+    const bool isRetry = ++m_executions[action.requestId] > 1 || m_callsOfRetries.count(action.requestId) != 0;
+    if (isRetry)
+        m_arrivals[node.settings.service].retries.push_back(m_now);
+    node.running[action.id] = simulated_run { m_now + action.deadline, isRetry };
+}
+
 void gateway_group::runExchange(const std::string& name, const start_exchange& action)
 {
     const forward_entry& entry = *m_table->find("h", action.request.target);
     const entry_model model = m_models[entry.name];
-    m_nodes.at(name)->running.insert(action.id);
     at(m_now + model.serviceTime * m_nodes.at(name)->slowdown,
         [this, name, id = action.id, model] { makeCalls(name, id, model, model.callCount); });
 }
 
 void gateway_group::makeCalls(const std::string& name, std::uint64_t id, const entry_model& model, int remainingCalls)
 {
-    if (m_nodes.at(name)->running.count(id) == 0)
+    const auto run = m_nodes.at(name)->running.find(id);
+    if (run == m_nodes.at(name)->running.end())
         return;
     if (remainingCalls == 0) {
         finish(name, id, true);
         return;
     }
-    request(name, model.calledEntry, [this, name, id, model, remainingCalls](bool isGood) {
+    const simulated_run cause = run->second;
+    request(name, model.calledEntry, cause, [this, name, id, model, remainingCalls](bool isGood) {
         if (isGood)
             makeCalls(name, id, model, remainingCalls - 1);
         else
@@ -320,21 +330,31 @@
 {
     if (m_nodes.at(name)->running.erase(id) == 0)
         return;
+    if (std::uniform_real_distribution<double> {}(m_random) < lostAnswerRatio) {
+        handle(
+            name, exchange_ended { id, exchange_failure { true, error { error_kind::connection_failed, "reset" } } });
+        return;
+    }
     upstream_response response;
     response.response.status = isGood ? 200 : 500;
     response.notices.rateLimit = m_nodes.at(name)->rateLimit;
     handle(name, exchange_ended { id, response });
 }
 
-void gateway_group::request(const std::string& name, const std::string& entry, std::function<void(bool)> done)
+void gateway_group::request(
+    const std::string& name, const std::string& entry, const simulated_run& cause, std::function<void(bool)> done)
 {
     client_request event;
     event.handle = ++m_lastHandle;
     event.host = "h";
     event.requestId = std::to_string(event.handle);
-    event.deadline = entryOf(entry).timeout;
+    event.deadline = milliseconds { (cause.deadline - m_now).whole() };
     event.request.method = "GET";
     event.request.target = "/" + entry + "/x";
+    if (cause.isRetry)
+        m_callsOfRetries.insert(event.requestId);
+    else
+        m_arrivals[entryOf(entry).services.front().service].requests.push_back(m_now);
     m_clients[{ name, event.handle }] = client_state { entry, m_now, std::move(done) };
     handle(name, event);
 }
@@ -342,7 +362,7 @@
 void gateway_group::send(const std::string& name, const std::string& entry)
 {
     ++m_counts[entry].sent;
-    request(name, entry, nullptr);
+    request(name, entry, simulated_run { m_now + entryOf(entry).timeout }, nullptr);
 }
 
 void gateway_group::onAnswer(const std::string& name, const answer_client& answer)
--- a/test/knapweedcroft/gateway/gateway_group.hpp
+++ b/test/knapweedcroft/gateway/gateway_group.hpp
@@ -31,6 +31,12 @@
     int failed = 0;
 };
 
+/** @brief Requests and retries that a service got, in order of time. */
+struct service_arrivals {
+    std::vector<time_point> requests; /*!< Without the calls of retries. */
+    std::vector<time_point> retries; /*!< Attempts beyond the first, and the attempts of calls of retries. */
+};
+
 /** @brief What gateways send each other and ask the store. */
 struct traffic_counts {
     std::size_t messages = 0;
@@ -131,6 +137,8 @@
         return m_nodes.at(node)->exchanges;
     }
 
+    [[nodiscard]] const service_arrivals& arrivals(const std::string& service) { return m_arrivals[service]; }
+
     /** @brief Returns the answers that the upstream of a gateway got when it announced its leave. */
     [[nodiscard]] const std::vector<leave_verdict>& leaveVerdicts(const std::string& node) const
     {
@@ -141,9 +149,16 @@
 
     traffic_counts traffic; /*!< Since the start of the group; counted only on a store. */
     std::int64_t upstreamStartedAt = 1; /*!< Start time that upstreams announce; zero if they report none. */
+    double lostAnswerRatio = 0.0; /*!< Ratio of answers of upstreams that are lost after the request has run. */
     bool answersAutomatically = true; /*!< Upstreams answer according to the models; if false, the test answers. */
 
 private:
+    /** @brief Request that an upstream runs. */
+    struct simulated_run {
+        time_point deadline;
+        bool isRetry = false;
+    };
+
     struct simulated_node {
         gateway_settings settings;
         std::uint64_t incarnation = 0;
@@ -162,7 +177,7 @@
         std::vector<leave_verdict> leaveVerdicts;
         std::vector<answer_client> answers;
         std::vector<start_exchange> exchanges;
-        std::set<std::uint64_t> running;
+        std::map<std::uint64_t, simulated_run> running;
     };
 
     struct client_state {
@@ -184,7 +199,9 @@
     void runExchange(const std::string& name, const start_exchange& action);
     void makeCalls(const std::string& name, std::uint64_t id, const entry_model& model, int remainingCalls);
     void finish(const std::string& name, std::uint64_t id, bool isGood);
-    void request(const std::string& name, const std::string& entry, std::function<void(bool)> done);
+    void request(
+        const std::string& name, const std::string& entry, const simulated_run& cause, std::function<void(bool)> done);
+    void recordArrival(const std::string& name, const start_exchange& action);
     void onAnswer(const std::string& name, const answer_client& answer);
     [[nodiscard]] const forward_entry& entryOf(const std::string& name) const;
 
@@ -202,6 +219,8 @@
     bool m_isOnStore = false;
     bool m_isStoreAvailable = true;
     std::map<std::string, int> m_executions; /*!< Exchanges by request identifier. */
+    std::set<std::string> m_callsOfRetries; /*!< Their request identifiers. */
+    std::map<std::string, service_arrivals> m_arrivals;
     std::mt19937_64 m_random { 17 };
     time_point m_now { milliseconds { 1000 } };
     request_handle m_lastHandle = 0;
--- a/test/knapweedcroft/gateway/local_retry_budget.cpp
+++ b/test/knapweedcroft/gateway/local_retry_budget.cpp
@@ -54,4 +54,20 @@
     EXPECT_TRUE(allowance.spend("a", now));
 }
 
+// Guards against retries on top of those that the called service inherits from its callers (BUDGET).
+TEST(LocalRetryBudget, CountsInheritedRetriesAgainstTheLimit)
+{
+    local_retry_budget budget { { 0.5, 0.0, milliseconds { 1000 } } };
+    const time_point now { milliseconds { 1 } };
+    for (int count = 0; count < 10; ++count)
+        budget.recordFirstAttempt("a", now);
+    for (int count = 0; count < 4; ++count)
+        budget.recordInheritedRetry("a", now);
+    EXPECT_FALSE(budget.spend("a", now));
+    const time_point later = now + milliseconds { 1200 };
+    for (int count = 0; count < 10; ++count)
+        budget.recordFirstAttempt("a", later);
+    EXPECT_TRUE(budget.spend("a", later)) << "the window of the inherited ones is over";
+}
+
 } // namespace knapweedcroft
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -74,6 +74,7 @@
     forward.requestId = "id \xff";
     forward.rank = 2;
     forward.hasAlternative = true;
+    forward.isRetry = true;
     forward.deadline = milliseconds::fromMicroseconds(1234);
     forward.target = milliseconds::fromMicroseconds(-5);
     forward.request = opaque_request { "POST", "/a?b=c", { { "X", "1" }, { "x", "2" } }, std::string { "\0raw", 4 } };
