Percent-encode with one function

The path segments of calls to upstreams and the query of writes to the store were encoded by two functions around the same function of libevent. node_runtime now calls percentEncode; only without memory it differs, by an exception in place of an unencoded segment.

--- a/src/knapweedcroft/net/http_types.hpp
+++ b/src/knapweedcroft/net/http_types.hpp
@@ -41,7 +41,7 @@
 /** @brief Returns the first decoded value of a query parameter, if any. */
 [[nodiscard]] std::optional<std::string> findQueryParameter(const http_request& request, std::string_view name);
 
-/** @brief Percent-encodes text for the query of a target. */
+/** @brief Percent-encodes text for a path segment or the query of a target; throws `std::bad_alloc` without memory. */
 [[nodiscard]] std::string percentEncode(const std::string& text);
 
 /** @brief Creates a response with JSON text as its body. */
--- a/src/knapweedcroft/net/node_runtime.cpp
+++ b/src/knapweedcroft/net/node_runtime.cpp
@@ -1,13 +1,11 @@
 #include "knapweedcroft/net/node_runtime.hpp"
 
 #include "knapweedcroft/core/json_reader.hpp"
+#include "knapweedcroft/net/http_types.hpp"
 #include "knapweedcroft/wire/context.hpp"
 
-#include <event2/http.h>
-
 #include <algorithm>
 #include <charconv>
-#include <cstdlib>
 #include <utility>
 
 namespace knapweedcroft {
@@ -57,16 +55,6 @@
     return hub;
 }
 
-[[nodiscard]] static std::string encodeSegment(const std::string& text)
-{
-    char* encoded = evhttp_uriencode(text.c_str(), static_cast<ev_ssize_t>(text.size()), 0);
-    if (encoded == nullptr)
-        return text;
-    std::string segment { encoded };
-    std::free(encoded); // NOLINT: allocated by libevent
-    return segment;
-}
-
 [[nodiscard]] static std::optional<milliseconds> parseDeadline(const std::string& text)
 {
     constexpr std::int64_t maxMilliseconds = 86'400'000;
@@ -343,7 +331,7 @@
     const time_point expiry = m_clock.wallNow() + remaining;
     http_client_request request;
     request.address = action.address;
-    request.target = "/op/" + internal::encodeSegment(action.operation);
+    request.target = "/op/" + percentEncode(action.operation);
     request.headers.emplace_back(std::string { contextHeader }, formatContext(context));
     request.headers.emplace_back(internal::deadlineHeader, std::to_string(remaining.whole()));
     request.headers.emplace_back(internal::expiresAtHeader, std::to_string(expiry.sinceEpoch().whole()));
