--- a/src/knapweedcroft/gateway/local_retry_budget.cpp
+++ b/src/knapweedcroft/gateway/local_retry_budget.cpp
@@ -16,30 +16,28 @@
 
 } // namespace internal
 
-void local_retry_budget::removeExpired(service_usage& used, time_point now) const
+// Returns the usage of a service within the window.
+local_retry_budget::service_usage& local_retry_budget::usageWithin(const service_name& service, time_point now)
 {
+    service_usage& used = m_usageByService[service];
     internal::removeBefore(used.firstAttempts, now - m_settings.window);
     internal::removeBefore(used.retries, now - m_settings.window - m_settings.window / 10);
+    return used;
 }
 
 void local_retry_budget::recordFirstAttempt(const service_name& service, time_point now)
 {
-    service_usage& used = m_usageByService[service];
-    removeExpired(used, now);
-    used.firstAttempts.push_back(now);
+    usageWithin(service, now).firstAttempts.push_back(now);
 }
 
 void local_retry_budget::recordInheritedRetry(const service_name& service, time_point now)
 {
-    service_usage& used = m_usageByService[service];
-    removeExpired(used, now);
-    used.retries.push_back(now);
+    usageWithin(service, now).retries.push_back(now);
 }
 
 bool local_retry_budget::spend(const service_name& service, time_point now)
 {
-    service_usage& used = m_usageByService[service];
-    removeExpired(used, now);
+    service_usage& used = usageWithin(service, now);
     const double slackShare = m_settings.slack / static_cast<double>(m_nodeCount);
     const double maxRetries
         = (m_settings.ratio * static_cast<double>(used.firstAttempts.size()) + slackShare) * internal::safetyFactor;
--- a/src/knapweedcroft/gateway/local_retry_budget.hpp
+++ b/src/knapweedcroft/gateway/local_retry_budget.hpp
@@ -64,7 +64,7 @@
         std::deque<time_point> retries;
     };
 
-    void removeExpired(service_usage& used, time_point now) const;
+    [[nodiscard]] service_usage& usageWithin(const service_name& service, time_point now);
 
     local_retry_budget_settings m_settings;
     std::uint32_t m_nodeCount = 1;
