Describe which large response reads on, and simplify two loops' conditions

The comment of maxBufferedBytes still named the longest response; since it is one response, until it ends. shouldPause returns one reason at a time, and handlePeerLost releases the reservations of a peer by their range instead of collecting them from all. The comment on calls of retries names what would happen otherwise. Behaviour is unchanged.

--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -90,7 +90,7 @@
     request.request = std::move(event.request);
     m_served.recordArrival(request.entry->name, now);
     m_retryBudget.setNodeCount(static_cast<std::uint32_t>(m_directory.nodes().size()) + 1);
-    // At each level of a call tree, the calls of retries count as retries, so that the levels do not add up theirs.
+    // Otherwise each level of a call tree would add its own retries to those of the levels above.
     request.isCallOfRetry = event.deadline && m_served.isCallOfRetry(request.clientDeadline);
     if (request.isCallOfRetry)
         m_retryBudget.recordInheritedRetry(request.service, now);
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -317,13 +317,12 @@
     std::sort(orphaned.begin(), orphaned.end());
     for (const std::uint64_t id : orphaned)
         cancelRequest(id, now, actions);
-    std::vector<call_id> granted;
-    for (const std::pair<const std::pair<node_name, call_id>, std::size_t>& item : m_reservations) {
-        if (item.first.first == peer)
-            granted.push_back(item.first.second);
-    }
-    for (const call_id id : granted)
+    // Requests that were granted and have not arrived.
+    auto position = m_reservations.lower_bound({ peer, call_id {} });
+    while (position != m_reservations.end() && position->first.first == peer) {
+        const call_id id = (position++)->first.second;
         release(peer, id);
+    }
 }
 
 forward_outcome served_requests::outcomeOf(
--- a/src/knapweedcroft/http/exchange_client.cpp
+++ b/src/knapweedcroft/http/exchange_client.cpp
@@ -376,8 +376,10 @@
 {
     if (target.bufferedBytes() <= internal::minPausedBytes)
         return false;
-    if (m_isPaused || m_bufferedBytes <= m_settings.maxBufferedBytes / 2)
-        return m_isPaused;
+    if (m_isPaused)
+        return true;
+    if (m_bufferedBytes <= m_settings.maxBufferedBytes / 2)
+        return false;
     // It goes on until it ends: if the largest one always did, responses of the same length would pass each other and
     // exceed the limit together.
     if (m_active.count(m_preferredExchange) == 0)
--- a/src/knapweedcroft/http/exchange_client.hpp
+++ b/src/knapweedcroft/http/exchange_client.hpp
@@ -35,8 +35,8 @@
 /** @brief Settings of an exchange client. */
 struct exchange_client_settings {
     message_limits limits { std::size_t { 64 } * 1024, std::size_t { 64 } * 1024 * 1024 };
-    /** @brief Body bytes of all responses in progress. Beyond half of it only the longest of the large responses is
-     * read. Beyond all of it that exchange fails, since a server that sends without end has the longest response. */
+    /** @brief Body bytes of all responses in progress. Beyond half of it only one of the large responses is read, until
+     * it ends. Beyond all of it the longest one fails, since it is that of a server that sends without end. */
     std::size_t maxBufferedBytes = std::size_t { 64 } * 1024 * 1024;
     milliseconds connectTimeout { 1000 }; /*!< Timeout for opening a connection. */
     /** @brief Idle connections are closed after this, or earlier if the server advertises a shorter timeout. */
