Share the large booking of the tests, and the sets of the request ledger

Three tests built the same booking with a large body and two read the reserved bytes in the same way; two functions of the request ledger updated a set of nodes in the same way. Assertions are unchanged.

--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -68,6 +68,23 @@
         endExchange(node, response);
     }
 
+    // A booking whose body is offered before it is sent.
+    [[nodiscard]] static client_request largeBooking(request_handle handle, std::size_t bytes)
+    {
+        client_request event;
+        event.handle = handle;
+        event.host = "h";
+        event.requestId = std::to_string(handle);
+        event.deadline = milliseconds { 1000 };
+        event.request = { "POST", "/book/x", {}, std::string(bytes, 'b') };
+        return event;
+    }
+
+    [[nodiscard]] std::size_t reservedAt(const std::string& node)
+    {
+        return m_group.core(node).describe()["served_requests"]["reserved_bytes"].get<std::size_t>();
+    }
+
     [[nodiscard]] std::size_t exchangeCount() { return m_group.exchanges("a").size() + m_group.exchanges("b").size(); }
 
     gateway_group m_group { makeReadAndBookTable() };
@@ -507,18 +524,9 @@
     constexpr std::size_t bytesPerMiB = std::size_t { 1024 } * 1024;
     const std::size_t fitting = gateway_settings {}.maxReservedBytes / (10 * bytesPerMiB);
     for (std::size_t number = 0; number < 2 * fitting + 3; ++number) {
-        client_request event;
-        event.handle = 5000 + number;
-        event.host = "h";
-        event.requestId = std::to_string(event.handle);
-        event.deadline = milliseconds { 1000 };
-        event.request = { "POST", "/book/x", {}, std::string(10 * bytesPerMiB, 'b') };
-        m_group.handle("c", event);
+        m_group.handle("c", largeBooking(5000 + number, 10 * bytesPerMiB));
         m_group.run(milliseconds { 1 });
     }
-    const auto reservedAt = [this](const std::string& node) {
-        return m_group.core(node).describe()["served_requests"]["reserved_bytes"].get<std::size_t>();
-    };
     for (const char* node : { "a", "b" })
         EXPECT_EQ(reservedAt(node), fitting * 10 * bytesPerMiB);
     ASSERT_EQ(m_group.answers("c").size(), 3U);
@@ -535,12 +543,7 @@
 // Guards against an offer that is lost with its link and keeps its client waiting, or counts as run.
 TEST_F(gateway_core_test, SendsALargeBodyElsewhereWhenItsOfferIsLost)
 {
-    client_request event;
-    event.handle = 5000;
-    event.host = "h";
-    event.requestId = "5000";
-    event.deadline = milliseconds { 1000 };
-    event.request = { "POST", "/book/x", {}, std::string(std::size_t { 1 } << 20U, 'b') };
+    const client_request event = largeBooking(5000, std::size_t { 1 } << 20U);
     const gateway_actions actions = m_group.core("c").handle(event, m_group.now(), m_group.now());
     const auto isOffer = [](const gateway_action& action) {
         const send_to_peer* sent = std::get_if<send_to_peer>(&action);
@@ -564,22 +567,14 @@
         return std::get<send_to_peer>(*std::find_if(actions.begin(), actions.end(),
             [](const gateway_action& action) { return std::holds_alternative<send_to_peer>(action); }));
     };
-    client_request event;
-    event.handle = 5000;
-    event.host = "h";
-    event.requestId = "5000";
-    event.deadline = milliseconds { 1000 };
-    event.request = { "POST", "/book/x", {}, std::string(std::size_t { 1 } << 20U, 'b') };
+    const client_request event = largeBooking(5000, std::size_t { 1 } << 20U);
     const send_to_peer offer = sentBy("c", event);
     const send_to_peer grant = sentBy(offer.peer, message_received { "c", offer.message });
     const send_to_peer request = sentBy("c", message_received { offer.peer, grant.message });
-    const auto reserved = [this, &offer] {
-        return m_group.core(offer.peer).describe()["served_requests"]["reserved_bytes"].get<std::size_t>();
-    };
-    EXPECT_EQ(reserved(), event.request.body.size());
+    EXPECT_EQ(reservedAt(offer.peer), event.request.body.size());
     m_group.handle("c", calls_lost { offer.peer, { std::get<forward_request>(request.message).id }, {} });
     m_group.run(milliseconds { 1 });
-    EXPECT_EQ(reserved(), 0U);
+    EXPECT_EQ(reservedAt(offer.peer), 0U);
 }
 
 // Guards against nodes that wait for an announcement although the upstream says in its answers that it leaves.
--- a/test/platform/soak/request_ledger.cpp
+++ b/test/platform/soak/request_ledger.cpp
@@ -24,6 +24,14 @@
     return expected.count(status) != 0;
 }
 
+static void setMember(std::set<std::string>& nodes, const std::string& node, bool isMember)
+{
+    if (isMember)
+        nodes.insert(node);
+    else
+        nodes.erase(node);
+}
+
 } // namespace internal
 
 void request_ledger::recordSent(const std::string& id, const std::string& node, const soak_entry& entry, time_point now)
@@ -70,19 +78,13 @@
 void request_ledger::setDisturbed(const std::string& node, bool isDisturbed)
 {
     m_notices.recordDisturbance(node);
-    if (isDisturbed)
-        m_disturbedNodes.insert(node);
-    else
-        m_disturbedNodes.erase(node);
+    internal::setMember(m_disturbedNodes, node, isDisturbed);
 }
 
 void request_ledger::setStopping(const std::string& node, bool isStopping)
 {
     m_notices.recordDisturbance(node);
-    if (isStopping)
-        m_stoppingNodes.insert(node);
-    else
-        m_stoppingNodes.erase(node);
+    internal::setMember(m_stoppingNodes, node, isStopping);
 }
 
 std::string request_ledger::responseBody(const std::string& id, const std::string& upstream)
