--- a/review/stand-ins-3/deployment.hpp
+++ b/review/stand-ins-3/deployment.hpp
@@ -97,25 +97,43 @@
 inline int portOf(const std::string& address) { return std::atoi(address.c_str() + address.rfind(':') + 1); }
 inline std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
-/** Returns a free port of 127.0.0.1; the caller binds it soon. */
+/**
+ * Returns a free port of 127.0.0.1, below the usual range of the ports that the system gives to outgoing connections.
+ * The caller binds it soon.
+ */
 inline int freePort()
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = makeAddress("127.0.0.1", 0);
-    socklen_t size = sizeof(address);
-    bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-    close(fd);
-    return ntohs(address.sin_port);
+    constexpr int first = 10'000;
+    constexpr int last = 32'000;
+    static std::mutex mutex;
+    static int next = first + static_cast<int>(getpid()) * 197 % (last - first);
+    const std::lock_guard<std::mutex> lock { mutex };
+    for (int attempt = first; attempt < last; ++attempt) {
+        next = next + 1 < last ? next + 1 : first;
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = makeAddress("127.0.0.1", next);
+        const bool isFree = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+        close(fd);
+        if (isFree)
+            return next;
+    }
+    std::exit(2);
 }
 
 inline std::string freeAddress() { return "127.0.0.1:" + std::to_string(freePort()); }
 
-inline int connectTo(const std::string& address, int receiveBuffer = 0)
+/**
+ * Connects to an address. A connection with a small window has that receive buffer and Ethernet's segment size, since
+ * the segments of the loopback interface let the kernel of the sender hold megabytes.
+ */
+inline int connectTo(const std::string& address, int smallWindow = 0)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (receiveBuffer > 0)
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+    if (smallWindow > 0) {
+        const int segment = 1448;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &smallWindow, sizeof(smallWindow));
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+    }
     const int one = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     const sockaddr_in target = makeAddress(hostOf(address), portOf(address));
