--- a/review/stand-ins-3/deployment.hpp
+++ b/review/stand-ins-3/deployment.hpp
@@ -358,6 +358,64 @@
     std::thread m_thread;
 };
 
+/** Passes connections on to an address that is set later, each direction at up to a rate: a machine's link. */
+class link_relay {
+public:
+    link_relay(const std::string& address, double bytesPerSecond)
+        : m_address { address }
+        , m_bytesPerSecond { bytesPerSecond }
+        , m_server { address, [this](int fd) { serve(fd); } }
+    {
+    }
+
+    const std::string& address() const { return m_address; }
+    void setTarget(const std::string& target)
+    {
+        const std::lock_guard<std::mutex> lock { m_mutex };
+        m_target = target;
+    }
+
+private:
+    void serve(int fd)
+    {
+        std::string target;
+        {
+            const std::lock_guard<std::mutex> lock { m_mutex };
+            target = m_target;
+        }
+        const int other = target.empty() ? -1 : connectTo(target, 256 * 1024);
+        if (other < 0)
+            return;
+        std::thread back { [this, fd, other] { pass(other, fd); } };
+        pass(fd, other);
+        back.join();
+        close(other);
+    }
+
+    void pass(int from, int to) const
+    {
+        std::vector<char> bytes(64 * 1024);
+        steady::time_point next = steady::now();
+        for (;;) {
+            const ssize_t count = recv(from, bytes.data(), bytes.size(), 0);
+            if (count <= 0 || !sendAll(to, std::string(bytes.data(), static_cast<std::size_t>(count))))
+                break;
+            const std::chrono::duration<double> time { static_cast<double>(count) / m_bytesPerSecond };
+            next = std::max(next, steady::now() - std::chrono::milliseconds(2))
+                + std::chrono::duration_cast<steady::duration>(time);
+            std::this_thread::sleep_until(next);
+        }
+        shutdown(from, SHUT_RDWR);
+        shutdown(to, SHUT_RDWR);
+    }
+
+    std::string m_address;
+    double m_bytesPerSecond;
+    std::mutex m_mutex;
+    std::string m_target;
+    server m_server;
+};
+
 // --- the platform's store
 
 inline std::string base64(const std::string& bytes)
@@ -632,7 +690,9 @@
 
 class node {
 public:
-    node(std::string name, const backend& upstream, const store& platformStore, const std::string& folder, int memoryMb)
+    /** `announcedPeers` is the address of a relay before the links of the node, if there is one. */
+    node(std::string name, const backend& upstream, const store& platformStore, const std::string& folder, int memoryMb,
+        const std::string& announcedPeers = "")
         : m_name { std::move(name) }
         , m_clients { freeAddress() }
         , m_ready { freeAddress() }
@@ -642,11 +702,13 @@
         , m_settings { folder + "/" + m_name + ".json" }
         , m_output { folder + "/" + m_name + ".log" }
     {
+        const std::string announced
+            = announcedPeers.empty() ? "" : ", \"announced_peers\": \"" + announcedPeers + "\"";
         // As platform/gateway_settings.json.template renders it for a machine of a small deployment.
         const std::string text = "{ \"node\": { \"name\": \"" + m_name + "\", \"data_centre\": \"" + upstream.zone()
             + "\", \"service\": \"" + upstream.service() + "\" }, \"listen\": { \"clients\": \"" + m_clients
             + "\", \"readiness\": \"" + m_ready + "\", \"announcements\": \"" + m_control + "\", \"peers\": \"" + m_peers
-            + "\", \"metrics\": \"" + m_metrics + "\" }, \"upstream\": { \"address\": \"" + upstream.address()
+            + "\", \"metrics\": \"" + m_metrics + "\"" + announced + " }, \"upstream\": { \"address\": \"" + upstream.address()
             + "\", \"announcement_interval\": \"1500ms\" }, \"store\": { \"address\": \"" + platformStore.address()
             + "\", \"change_deadline\": \"2000ms\" }, \"retries\": { \"ratio\": 0.2, \"slack\": 49, \"window\": \"10s\" }, "
             + "\"memory_mb\": " + std::to_string(memoryMb) + ", \"grace\": \"6s\" }";
@@ -659,6 +721,7 @@
     const std::string& name() const { return m_name; }
     const std::string& clients() const { return m_clients; }
     const std::string& control() const { return m_control; }
+    const std::string& peers() const { return m_peers; }
     const std::string& metrics() const { return m_metrics; }
     pid_t pid() const { return m_pid; }
 
