--- a/review/stand-ins-3/deployment.hpp
+++ b/review/stand-ins-3/deployment.hpp
@@ -21,9 +21,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -206,6 +208,10 @@
             start += 2;
             const std::size_t stop = buffer.find("\r\n", start);
             const std::size_t colon = buffer.find(':', start);
+            if (colon >= stop) {
+                start = stop;
+                continue;
+            }
             std::size_t value = colon + 1;
             while (value < stop && buffer[value] == ' ')
                 ++value;
@@ -688,6 +694,51 @@
 
 // --- nodes: the real program
 
+/** Processes that run now; a script that is ended, fails or exceeds its time ends them too, and exits with 2. */
+class running_processes {
+public:
+    static void add(pid_t pid)
+    {
+        static const bool isInstalled = install();
+        for (std::atomic<pid_t>& item : slots()) {
+            pid_t expected = 0;
+            if (isInstalled && item.compare_exchange_strong(expected, pid))
+                return;
+        }
+    }
+    static void remove(pid_t pid)
+    {
+        for (std::atomic<pid_t>& item : slots()) {
+            pid_t expected = pid;
+            item.compare_exchange_strong(expected, 0);
+        }
+    }
+
+private:
+    static std::array<std::atomic<pid_t>, 64>& slots()
+    {
+        static std::array<std::atomic<pid_t>, 64> all {};
+        return all;
+    }
+    static void endAll(int)
+    {
+        for (const std::atomic<pid_t>& item : slots()) {
+            if (item.load() > 0)
+                ::kill(item.load(), SIGKILL);
+        }
+        _exit(2);
+    }
+    static bool install()
+    {
+        constexpr unsigned maxSeconds = 115;
+        static_cast<void>(slots());
+        for (const int number : { SIGTERM, SIGINT, SIGHUP, SIGALRM, SIGABRT, SIGSEGV })
+            std::signal(number, &endAll);
+        alarm(maxSeconds);
+        return true;
+    }
+};
+
 class node {
 public:
     /** `announcedPeers` is the address of a relay before the links of the node, if there is one. */
@@ -737,6 +788,8 @@
         pid_t pid = 0;
         m_pid = posix_spawn(&pid, program.c_str(), &files, nullptr, arguments, environ) == 0 ? pid : 0;
         posix_spawn_file_actions_destroy(&files);
+        if (m_pid > 0)
+            running_processes::add(m_pid);
     }
 
     void signal(int number) const
@@ -752,6 +805,7 @@
             return;
         ::kill(m_pid, number);
         waitpid(m_pid, nullptr, 0);
+        running_processes::remove(m_pid);
         m_pid = 0;
     }
 
@@ -760,6 +814,7 @@
     {
         if (m_pid <= 0 || waitpid(m_pid, &status, WNOHANG) != m_pid)
             return false;
+        running_processes::remove(m_pid);
         m_pid = 0;
         return true;
     }
