Give the encoder of the links the limits of the decoder

Cause: the decoder refused a head of more than 512 lines, and the encoder and the HTTP parsers have no limit on lines. The same class: entry_callers beyond 1,024 counts, loads with a service time above 71 minutes, admission ratios above 1, status codes and frames beyond the limits.

Change: one table, wire/limits.hpp, which both encode and decode apply. Heads are limited by their bytes. encode returns an error in place of a frame that a peer refuses; the hub then refuses the request, replaces the answer by a failure, or splits the report. wire.md lists each message with what bounds it at the sender.

The test of lists that are too long used 2,000 names. The limit of that list is now 65,536, as for the other lists, since the sender has no smaller one; the test uses 70,000 names and its frames have their full length.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -198,7 +198,7 @@
     const cost total = measureCost([&] {
         for (std::size_t round = 0; round < rounds; ++round) {
             const time_point now { milliseconds { static_cast<std::int64_t>(round) * 500 } };
-            const std::string frame = encode(sender.makeHeartbeat(peer.node, now, wallTime));
+            const std::string frame = valueOf(encode(sender.makeHeartbeat(peer.node, now, wallTime)));
             const result<peer_message> decoded = decode(frame);
             receiver.receiveHeartbeat(self.node, std::get<heartbeat_message>(valueOf(decoded)), now, wallTime);
             bytes = frame.size();
@@ -226,8 +226,8 @@
     std::size_t answerBytes = 0;
     const cost total = measureCost([&] {
         for (std::size_t round = 0; round < rounds; ++round) {
-            const std::string requestFrame = encode(request);
-            const std::string answerFrame = encode(answer);
+            const std::string requestFrame = valueOf(encode(request));
+            const std::string answerFrame = valueOf(encode(answer));
             static_cast<void>(decode(requestFrame));
             static_cast<void>(decode(answerFrame));
             requestBytes = requestFrame.size() - bodyBytes;
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -354,6 +354,7 @@
         sent[std::string { item.first }] = { { "messages", item.second.messages }, { "bytes", item.second.bytes },
             { "remote_bytes", item.second.remoteBytes } };
     values["sent_to_peers"] = std::move(sent);
+    values["links"] = { { "untransferable_messages", m_hub.faults().untransferableMessages } };
     values.update(m_metrics.describe());
     std::string text;
     internal::appendMetrics(values, "knapweed", text);
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -242,7 +242,8 @@
 void origin_requests::handleAnswer(
     const node_name& peer, forward_answer answer, time_point now, gateway_actions& actions)
 {
-    m_directory.updateLoad(peer, answer.load, std::holds_alternative<opaque_response>(answer.outcome), now);
+    if (answer.load.slots > 0)
+        m_directory.updateLoad(peer, answer.load, std::holds_alternative<opaque_response>(answer.outcome), now);
     const std::uint64_t id = answer.id.value();
     const auto position = m_requests.find(id);
     if (position == m_requests.end() || position->second.node != peer)
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -2,6 +2,7 @@
 
 #include "knapweedcroft/net/socket_options.hpp"
 #include "knapweedcroft/wire/codec.hpp"
+#include "knapweedcroft/wire/substitutes.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -288,7 +289,7 @@
     if (record.phase == link_phase::standby)
         replaceActiveLink(record);
     if (const ping_message* ping = std::get_if<ping_message>(&message)) {
-        record.link->send(encode(pong_message { ping->sequence }), std::nullopt);
+        record.link->send(valueOf(encode(pong_message { ping->sequence })), std::nullopt);
         return;
     }
     if (const pong_message* pong = std::get_if<pong_message>(&message)) {
@@ -502,13 +503,22 @@
         findOrAddPeer(action.peer).pendingCalls.insert(*call);
     else if (const cancel_message* cancel = std::get_if<cancel_message>(&action.message))
         findOrAddPeer(action.peer).pendingCalls.erase(cancel->id);
-    sendMessage(*record, action.message, call);
     record->isReplyExpected = true;
+    const std::vector<peer_message> parts = splitReport(action.message);
+    for (const peer_message& part : parts)
+        sendMessage(*record, part, std::nullopt);
+    if (parts.empty())
+        sendMessage(*record, action.message, call);
 }
 
 void peer_hub::sendMessage(link_record& record, const peer_message& message, std::optional<call_id> call)
 {
-    std::string frame = encode(message);
+    const result<std::string> encoded = encode(message);
+    if (!hasValue(encoded)) {
+        onUntransferable(record, message, errorOf(encoded));
+        return;
+    }
+    const std::string& frame = valueOf(encoded);
     sent_message_counts& counts = m_sentByKind[kindOf(message)];
     ++counts.messages;
     counts.bytes += frame.size();
@@ -516,6 +526,28 @@
     record.link->send(frame, call);
 }
 
+void peer_hub::onUntransferable(link_record& record, const peer_message& message, const error& reason)
+{
+    const message_subject subject = subjectOf(message);
+    ++m_faults.untransferableMessages;
+    log(log_level::warning, "message_not_sent", record, "kind " + subject.kind + ": " + reason.message);
+    if (std::optional<peer_message> refusal = refuseUntransferred(subject)) {
+        findOrAddPeer(record.hello->node).pendingCalls.erase(*subject.call);
+        deliverLater(record.hello->node, std::move(*refusal));
+    } else if (const std::optional<peer_message> failure = failUntransferred(subject)) {
+        sendMessage(record, *failure, std::nullopt);
+    }
+}
+
+void peer_hub::deliverLater(const node_name& peer, peer_message message)
+{
+    // The owner may not be ready for an event while it sends.
+    m_loop.post([this, isAlive = m_isAlive, event = message_received { peer, std::move(message) }]() mutable {
+        if (*isAlive)
+            m_handlers.deliver(std::move(event));
+    });
+}
+
 void peer_hub::reportUnwritten(const node_name& peer, call_id call)
 {
     std::vector<call_id>& calls = m_undeliverableCalls[peer];
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -41,6 +41,11 @@
     std::uint64_t remoteBytes = 0; /*!< To other data centres. */
 };
 
+/** @brief Faults of the links to all peers since the start. */
+struct link_fault_counts {
+    std::uint64_t untransferableMessages = 0; /*!< Messages of this node beyond the limits of the wire. */
+};
+
 /** @brief Callbacks of a peer hub. */
 struct peer_hub_handlers {
     std::function<hello_message()> makeHello; /*!< Returns the hello message for a newly opened link. */
@@ -97,7 +102,11 @@
     /** @brief Closes the link to a peer and stops reopening it. */
     void close(const close_link& action);
 
-    /** @brief Sends a message to a peer; without an active link, discards it and reports a call as unwritten. */
+    /**
+     * @brief Sends a message to a peer; without an active link, discards it and reports a call as unwritten.
+     *
+     * A call beyond the limits of the wire is answered as refused, and an answer beyond them is replaced by a failure.
+     */
     void send(const send_to_peer& action);
 
     /** @brief Removes all peers and closes all links gracefully, without delivering link_closed. */
@@ -118,6 +127,9 @@
         return m_sentByKind;
     }
 
+    /** @brief Returns the faults of the links since the start. */
+    [[nodiscard]] const link_fault_counts& faults() const noexcept { return m_faults; }
+
     /** @brief Returns the names of the peers with an active link. */
     [[nodiscard]] std::vector<node_name> linkedPeers() const;
 
@@ -190,6 +202,8 @@
     void onGracePeriodExpired(const node_name& name);
     void startReplacement(const node_name& name);
     void sendMessage(link_record& record, const peer_message& message, std::optional<call_id> call);
+    void onUntransferable(link_record& record, const peer_message& message, const error& reason);
+    void deliverLater(const node_name& peer, peer_message message);
     void reportUnwritten(const node_name& peer, call_id call);
     void checkLinks();
     void checkLiveness(link_record& record);
@@ -207,6 +221,7 @@
     std::map<node_name, peer_record> m_peers;
     std::map<node_name, std::vector<call_id>> m_undeliverableCalls;
     std::map<std::string_view, sent_message_counts> m_sentByKind;
+    link_fault_counts m_faults;
     std::string m_dataCentre; /*!< Data centre of this node, from its hello message. */
     tcp_listener m_listener;
     loop_timer m_checkTimer;
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -2,21 +2,37 @@
 
 #include "knapweedcroft/wire/internal_cbor.hpp"
 
-#include <cstring>
+#include <algorithm>
 
 namespace knapweedcroft {
 
 namespace internal {
 
 static constexpr std::size_t lengthBytes = 4;
-static constexpr std::size_t maxTextBytes = std::size_t { 64 } * 1024;
-static constexpr std::size_t maxNames = 1024;
-static constexpr std::size_t maxRecords = 65'536;
-static constexpr std::int64_t maxMicroseconds = 100'000'000'000'000'000; // Prevents overflow when times are added.
 static constexpr std::uint64_t maxClass = static_cast<std::uint64_t>(call_class::low);
 
 // --- encoding
 
+[[nodiscard]] static std::int64_t toWireDuration(milliseconds duration)
+{
+    return std::clamp(duration.microseconds(), -maxMicroseconds, maxMicroseconds);
+}
+
+[[nodiscard]] static std::int64_t toWireTime(time_point time)
+{
+    return std::clamp<std::int64_t>(time.sinceEpoch().microseconds(), 0, maxMicroseconds);
+}
+
+[[nodiscard]] static std::int64_t toWireOffset(std::int64_t offset)
+{
+    return std::clamp<std::int64_t>(offset, -1, maxOffset);
+}
+
+[[nodiscard]] static std::int64_t toWireStart(std::int64_t unixTime)
+{
+    return std::clamp<std::int64_t>(unixTime, 0, maxOffset);
+}
+
 struct outcome_writer {
     map_builder& header;
 
@@ -26,13 +42,13 @@
     }
     void operator()(const refused_not_run& value) const
     {
-        header.add("reason", toString(value.reason)).add("retry_after_us", value.retryAfter.microseconds());
+        header.add("reason", toString(value.reason)).add("retry_after_us", toWireDuration(value.retryAfter));
         header.add("message", value.message);
     }
     void operator()(const failed_after_start& value) const { header.add("message", value.message); }
     void operator()(const outcome_unknown& value) const
     {
-        header.add("retry_after_us", value.retryAfter.microseconds()).add("message", value.message);
+        header.add("retry_after_us", toWireDuration(value.retryAfter)).add("message", value.message);
     }
 };
 
@@ -61,7 +77,7 @@
 
 [[nodiscard]] static std::uint64_t toPartsPerMillion(double ratio)
 {
-    return static_cast<std::uint64_t>(ratio * partsPerMillion);
+    return static_cast<std::uint64_t>(std::clamp(ratio, 0.0, 1.0) * partsPerMillion);
 }
 
 // Rates are transferred in thousandths of a request per second, and no part of a load exceeds 32 bits.
@@ -69,15 +85,20 @@
 
 [[nodiscard]] static std::uint64_t toRateUnits(double rate)
 {
-    return static_cast<std::uint64_t>(std::min(rate * rateUnitsPerRequest, static_cast<double>(UINT32_MAX)));
+    return static_cast<std::uint64_t>(std::clamp(rate * rateUnitsPerRequest, 0.0, static_cast<double>(UINT32_MAX)));
+}
+
+[[nodiscard]] static std::uint64_t toLoadUnits(milliseconds duration)
+{
+    return static_cast<std::uint64_t>(std::clamp<std::int64_t>(duration.microseconds(), 0, UINT32_MAX));
 }
 
 [[nodiscard]] static wire_json toJson(const upstream_load& load)
 {
-    wire_json list = wire_json::array({ load.running, load.queued, load.slots, load.serviceTime.microseconds() });
+    wire_json list = wire_json::array({ load.running, load.queued, load.slots, toLoadUnits(load.serviceTime) });
     if (load.rate) {
         list.push_back(toRateUnits(*load.rate));
-        list.push_back(std::min<std::int64_t>(load.startDelay.microseconds(), UINT32_MAX));
+        list.push_back(toLoadUnits(load.startDelay));
     }
     return list;
 }
@@ -113,7 +134,8 @@
     {
         return { { "k", kind_namer {}(value) }, { "node", value.node }, { "incarnation", value.incarnation.value() },
             { "service", value.service }, { "data_centre", value.data_centre }, { "peer_address", value.peerAddress },
-            { "view_offset", value.viewOffset }, { "catalogue_offset", value.catalogueOffset } };
+            { "view_offset", toWireOffset(value.viewOffset) },
+            { "catalogue_offset", toWireOffset(value.catalogueOffset) } };
     }
 
     wire_json operator()(const call_request& value) const
@@ -121,7 +143,7 @@
         map_builder header;
         header.add("k", kind_namer {}(value)).add("id", value.id.value()).add("action", value.action.value());
         header.add("entry", value.entry).add("class", static_cast<std::uint64_t>(value.importance));
-        header.add("deadline_us", value.deadline.microseconds()).add("depth", value.depth);
+        header.add("deadline_us", toWireDuration(value.deadline)).add("depth", value.depth);
         header.add("budget", value.budget).add("role", static_cast<std::uint64_t>(value.role));
         header.add("content_type", value.contentType);
         if (value.key)
@@ -133,17 +155,17 @@
     {
         map_builder header;
         header.add("k", kind_namer {}(value)).add("id", value.id.value()).add("budget_left", value.budgetLeft);
-        header.add("queue_us", value.queueTime.microseconds());
+        header.add("queue_us", toWireDuration(value.queueTime));
         writeOutcome(header, value.outcome);
         if (value.threshold) {
             header.add("threshold", toJson(*value.threshold));
-            header.add("validity_us", value.thresholdValidity.microseconds());
+            header.add("validity_us", toWireDuration(value.thresholdValidity));
         }
         if (!value.thresholds.empty()) {
             wire_json list = wire_json::array();
             for (const service_threshold& item : value.thresholds) {
                 list.push_back({ { "service", item.service }, { "threshold", toJson(item.threshold) },
-                    { "validity_us", item.validity.microseconds() } });
+                    { "validity_us", toWireDuration(item.validity) } });
             }
             header.add("thresholds", std::move(list));
         }
@@ -161,7 +183,7 @@
         header.add("p", value.rank).add("a", value.hasAlternative);
         if (value.isRetry)
             header.add("n", true);
-        header.add("d", value.deadline.microseconds()).add("t", value.target.microseconds());
+        header.add("d", toWireDuration(value.deadline)).add("t", toWireDuration(value.target));
         header.add("m", value.request.method).add("u", value.request.target);
         header.add("h", toJson(value.request.headers));
         return header.take();
@@ -172,13 +194,13 @@
         map_builder header;
         header.add("k", kind_namer {}(value)).add("id", value.id.value());
         header.add("c", value.isCalledByUpstreamsOnly).add("o", toPartsPerMillion(value.admissionRatio));
-        header.add("l", toJson(value.load)).add("u", value.upstreamTime.microseconds());
+        header.add("l", toJson(value.load)).add("u", toWireDuration(value.upstreamTime));
         if (!value.leavingUpstream.empty())
             header.add("v", value.leavingUpstream);
         if (const opaque_response* response = std::get_if<opaque_response>(&value.outcome))
             header.add("s", response->status).add("h", toJson(response->headers));
         if (const forward_refusal* refusal = std::get_if<forward_refusal>(&value.outcome)) {
-            header.add("w", toString(refusal->reason)).add("y", refusal->retryAfter.microseconds());
+            header.add("w", toString(refusal->reason)).add("y", toWireDuration(refusal->retryAfter));
             header.add("x", refusal->reachedUpstream).add("z", refusal->isFinal);
         }
         if (const forward_failure* failure = std::get_if<forward_failure>(&value.outcome))
@@ -188,17 +210,17 @@
 
     wire_json operator()(const upstream_status_message& value) const
     {
-        return { { "k", kind_namer {}(value) }, { "upstream", value.upstream }, { "started_ms", value.startedAt },
-            { "serving", value.isServing }, { "leaving", value.isLeaving },
-            { "warm_up_us", value.remainingWarmUp.microseconds() }, { "load", toJson(value.load) },
-            { "catalogue", value.catalogueVersion } };
+        return { { "k", kind_namer {}(value) }, { "upstream", value.upstream },
+            { "started_ms", toWireStart(value.startedAt) }, { "serving", value.isServing },
+            { "leaving", value.isLeaving }, { "warm_up_us", toWireDuration(value.remainingWarmUp) },
+            { "load", toJson(value.load) }, { "catalogue", toWireOffset(value.catalogueVersion) } };
     }
 
     wire_json operator()(const reported_notices_message& value) const
     {
         map_builder header;
         header.add("k", kind_namer {}(value)).add("upstream", value.upstream).add("leaving", value.isLeaving);
-        header.add("started_ms", value.startedAt);
+        header.add("started_ms", toWireStart(value.startedAt));
         if (value.rate)
             header.add("rate", toRateUnits(*value.rate));
         return header.take();
@@ -214,7 +236,7 @@
         wire_json entries = wire_json::array();
         for (const quarantine_entry& item : value.entries)
             entries.push_back(
-                { { "d", item.digest }, { "n", item.crashes }, { "hold_us", item.holdLeft.microseconds() } });
+                { { "d", item.digest }, { "n", item.crashes }, { "hold_us", toWireDuration(item.holdLeft) } });
         return { { "k", kind_namer {}(value) }, { "entries", std::move(entries) } };
     }
 
@@ -230,7 +252,7 @@
     {
         wire_json times = wire_json::array();
         for (const entry_service_time& item : value.times)
-            times.push_back({ { "e", item.entry }, { "us", item.time.microseconds() } });
+            times.push_back({ { "e", item.entry }, { "us", toWireDuration(item.time) } });
         return { { "k", kind_namer {}(value) }, { "times", std::move(times) } };
     }
 
@@ -258,13 +280,14 @@
 
     wire_json operator()(const heartbeat_message& value) const
     {
-        wire_json header = { { "k", kind_namer {}(value) }, { "seq", value.sequence },
-            { "wall_us", value.wallTime.sinceEpoch().microseconds() }, { "incarnation", value.incarnation.value() },
-            { "view_offset", value.viewOffset }, { "catalogue_offset", value.catalogueOffset },
-            { "state", static_cast<std::uint64_t>(value.state) } };
+        wire_json header
+            = { { "k", kind_namer {}(value) }, { "seq", value.sequence }, { "wall_us", toWireTime(value.wallTime) },
+                  { "incarnation", value.incarnation.value() }, { "view_offset", toWireOffset(value.viewOffset) },
+                  { "catalogue_offset", toWireOffset(value.catalogueOffset) },
+                  { "state", static_cast<std::uint64_t>(value.state) } };
         if (value.grant) {
             header["lease_grant"] = { { "incarnation", value.grant->incarnation.value() },
-                { "echo_seq", value.grant->echoSequence }, { "duration_us", value.grant->duration.microseconds() } };
+                { "echo_seq", value.grant->echoSequence }, { "duration_us", toWireDuration(value.grant->duration) } };
         }
         if (!value.suspects.empty())
             header["suspects"] = value.suspects;
@@ -278,14 +301,13 @@
 
     wire_json operator()(const hand_over_message& value) const
     {
-        wire_json header
-            = { { "k", kind_namer {}(value) }, { "view_offset", value.viewOffset }, { "complete", value.isComplete },
-                  { "complete_since_us", value.completeSince.sinceEpoch().microseconds() } };
+        wire_json header = { { "k", kind_namer {}(value) }, { "view_offset", toWireOffset(value.viewOffset) },
+            { "complete", value.isComplete }, { "complete_since_us", toWireTime(value.completeSince) } };
         wire_json& entries = header["entries"] = wire_json::array();
         for (const key_record& record : value.records) {
             map_builder item;
             item.add("key", record.key).add("entry", record.entry).add("body_hash", record.bodyHash);
-            item.add("window_us", record.remainingWindow.microseconds()).add("running", record.isRunning);
+            item.add("window_us", toWireDuration(record.remainingWindow)).add("running", record.isRunning);
             writeOutcome(item, record.outcome);
             if (const answered* answer = std::get_if<answered>(&record.outcome))
                 item.add("body", answer->body);
@@ -296,20 +318,21 @@
 
     wire_json operator()(const hand_over_ack_message& value) const
     {
-        return { { "k", kind_namer {}(value) }, { "view_offset", value.viewOffset } };
+        return { { "k", kind_namer {}(value) }, { "view_offset", toWireOffset(value.viewOffset) } };
     }
 
     wire_json operator()(const catch_up_request_message& value) const
     {
-        return { { "k", kind_namer {}(value) }, { "catalogue_offset", value.catalogueOffset },
-            { "membership_offset", value.membershipOffset } };
+        return { { "k", kind_namer {}(value) }, { "catalogue_offset", toWireOffset(value.catalogueOffset) },
+            { "membership_offset", toWireOffset(value.membershipOffset) } };
     }
 
     wire_json operator()(const catch_up_message& value) const
     {
-        wire_json header = { { "k", kind_namer {}(value) }, { "catalogue", value.catalogue },
-            { "membership", value.membership }, { "era", value.storeEra }, { "membership_from", value.membershipFrom },
-            { "membership_offset", value.membershipOffset } };
+        wire_json header
+            = { { "k", kind_namer {}(value) }, { "catalogue", value.catalogue }, { "membership", value.membership },
+                  { "era", value.storeEra }, { "membership_from", toWireOffset(value.membershipFrom) },
+                  { "membership_offset", toWireOffset(value.membershipOffset) } };
         if (!value.withdrawn.empty())
             header["withdrawn"] = value.withdrawn;
         return header;
@@ -317,8 +340,9 @@
 
     wire_json operator()(const store_progress_message& value) const
     {
-        return { { "k", kind_namer {}(value) }, { "era", value.storeEra }, { "catalogue", value.catalogueVersion },
-            { "membership_offset", value.membershipOffset } };
+        return { { "k", kind_namer {}(value) }, { "era", value.storeEra },
+            { "catalogue", toWireOffset(value.catalogueVersion) },
+            { "membership_offset", toWireOffset(value.membershipOffset) } };
     }
 };
 
@@ -365,7 +389,7 @@
 
 [[nodiscard]] static std::int64_t readOffset(field_reader& reader, const char* field)
 {
-    return reader.integer(field, -1, INT64_MAX / 2);
+    return reader.integer(field, -1, maxOffset);
 }
 
 [[nodiscard]] static std::uint32_t readCount(field_reader& reader, const char* field)
@@ -380,11 +404,10 @@
 
 // Reads a list of maps, each with `read`.
 template <typename Item>
-[[nodiscard]] static std::vector<Item> readItems(
-    field_reader& reader, const char* field, std::size_t maxItems, Item (*read)(field_reader&))
+[[nodiscard]] static std::vector<Item> readItems(field_reader& reader, const char* field, Item (*read)(field_reader&))
 {
     std::vector<Item> items;
-    for (const wire_json& item : reader.list(field, maxItems)) {
+    for (const wire_json& item : reader.list(field)) {
         field_reader nested { item, field };
         items.push_back(read(nested));
         reader.mergeError(nested);
@@ -395,10 +418,10 @@
 [[nodiscard]] static std::vector<std::string> readNames(field_reader& reader, const char* field)
 {
     std::vector<std::string> names;
-    for (const wire_json& item : reader.list(field, maxNames)) {
+    for (const wire_json& item : reader.list(field)) {
         const std::string* text = item.get_ptr<const std::string*>();
-        if (text == nullptr || text->size() > maxTextBytes) {
-            reader.fail(field, "a list of strings within the size limits");
+        if (text == nullptr) {
+            reader.fail(field, "a list of strings");
             return {};
         }
         names.push_back(*text);
@@ -408,7 +431,7 @@
 
 [[nodiscard]] static priority readPriority(field_reader& reader, const char* field)
 {
-    const wire_json& value = reader.list(field, 2);
+    const wire_json& value = reader.list(field);
     const bool isPair = value.size() == 2 && value[0].is_number_unsigned() && value[1].is_number_unsigned()
         && value[0].get<std::uint64_t>() <= maxClass;
     if (!isPair) {
@@ -420,7 +443,7 @@
 
 [[nodiscard]] static refusal_reason readReason(field_reader& reader, const char* field)
 {
-    const std::string name = reader.text(field, maxTextBytes);
+    const std::string name = reader.text(field);
     for (std::uint8_t number = 0; number < UINT8_MAX; ++number) {
         const refusal_reason reason = static_cast<refusal_reason>(number);
         if (toString(reason) == name)
@@ -434,22 +457,21 @@
 
 [[nodiscard]] static call_result readOutcome(field_reader& reader, std::string&& body)
 {
-    constexpr std::uint64_t maxStatus = 599;
-    const std::string kind = reader.text("result", maxTextBytes);
+    const std::string kind = reader.text("result");
     if (kind == "answered") {
         const int status = static_cast<int>(reader.unsignedInteger("status", maxStatus));
-        return answered { status, reader.text("content_type", maxTextBytes), std::move(body) };
+        return answered { status, reader.text("content_type"), std::move(body) };
     }
     if (kind == "refused_not_run") {
         const refusal_reason reason = readReason(reader, "reason");
         const milliseconds retryAfter = readDuration(reader, "retry_after_us");
-        return refused_not_run { reason, retryAfter, reader.text("message", maxTextBytes) };
+        return refused_not_run { reason, retryAfter, reader.text("message") };
     }
     if (kind == "failed_after_start")
-        return failed_after_start { reader.text("message", maxTextBytes) };
+        return failed_after_start { reader.text("message") };
     if (kind == "outcome_unknown") {
         const milliseconds retryAfter = readDuration(reader, "retry_after_us");
-        return outcome_unknown { retryAfter, reader.text("message", maxTextBytes) };
+        return outcome_unknown { retryAfter, reader.text("message") };
     }
     reader.fail("result", "the name of a result kind");
     return failed_after_start {};
@@ -458,11 +480,11 @@
 [[nodiscard]] static peer_message readHello(field_reader& reader, std::string&&)
 {
     hello_message message;
-    message.node = reader.text("node", maxTextBytes);
+    message.node = reader.text("node");
     message.incarnation = incarnation_id { reader.unsignedInteger("incarnation") };
-    message.service = reader.text("service", maxTextBytes);
-    message.data_centre = reader.text("data_centre", maxTextBytes);
-    message.peerAddress = reader.text("peer_address", maxTextBytes);
+    message.service = reader.text("service");
+    message.data_centre = reader.text("data_centre");
+    message.peerAddress = reader.text("peer_address");
     message.viewOffset = readOffset(reader, "view_offset");
     message.catalogueOffset = readOffset(reader, "catalogue_offset");
     if (message.node.empty())
@@ -475,16 +497,16 @@
     call_request message;
     message.id = call_id { reader.unsignedInteger("id") };
     message.action = action_id { reader.unsignedInteger("action") };
-    message.entry = reader.text("entry", maxTextBytes);
+    message.entry = reader.text("entry");
     message.importance = static_cast<call_class>(reader.unsignedInteger("class", maxClass));
     message.deadline = readDuration(reader, "deadline_us");
     message.depth = readCount(reader, "depth");
     message.budget = readCount(reader, "budget");
     message.role
         = static_cast<keyed_role>(reader.unsignedInteger("role", static_cast<std::uint64_t>(keyed_role::delegate)));
-    message.contentType = reader.text("content_type", maxTextBytes);
+    message.contentType = reader.text("content_type");
     if (reader.has("key"))
-        message.key = reader.text("key", maxTextBytes);
+        message.key = reader.text("key");
     if (message.role != keyed_role::none && !message.key)
         reader.fail("key", "present in a keyed call");
     message.body = std::move(body);
@@ -494,7 +516,7 @@
 [[nodiscard]] static service_threshold readThreshold(field_reader& reader)
 {
     service_threshold threshold;
-    threshold.service = reader.text("service", maxTextBytes);
+    threshold.service = reader.text("service");
     threshold.threshold = readPriority(reader, "threshold");
     threshold.validity = readDuration(reader, "validity_us");
     return threshold;
@@ -514,16 +536,15 @@
         message.threshold = readPriority(reader, "threshold");
         message.thresholdValidity = readDuration(reader, "validity_us");
     }
-    message.thresholds = readItems(reader, "thresholds", maxNames, &readThreshold);
+    message.thresholds = readItems(reader, "thresholds", &readThreshold);
     message.touched = readNames(reader, "touched");
     return message;
 }
 
 [[nodiscard]] static http_headers readHeaders(field_reader& reader)
 {
-    constexpr std::size_t maxHeaders = 1024;
     const std::vector<std::string> parts = readNames(reader, "h");
-    if (parts.size() % 2 != 0 || parts.size() > 2 * maxHeaders) {
+    if (parts.size() % 2 != 0) {
         reader.fail("h", "a list of names and values");
         return {};
     }
@@ -537,7 +558,7 @@
 {
     constexpr std::size_t fieldCount = 4;
     constexpr std::size_t fieldCountWithRate = 6;
-    const wire_json& list = reader.list(field, fieldCountWithRate);
+    const wire_json& list = reader.list(field);
     upstream_load load;
     for (const wire_json& item : list) {
         if (!item.is_number_unsigned() || item.get<std::uint64_t>() > UINT32_MAX) {
@@ -564,17 +585,17 @@
 {
     forward_request message;
     message.id = call_id { reader.unsignedInteger("id") };
-    message.service = reader.text("s", maxTextBytes);
-    message.caller = reader.text("c", maxTextBytes);
-    message.entry = reader.text("e", maxTextBytes);
-    message.requestId = reader.text("r", maxTextBytes);
+    message.service = reader.text("s");
+    message.caller = reader.text("c");
+    message.entry = reader.text("e");
+    message.requestId = reader.text("r");
     message.rank = readCount(reader, "p");
     message.hasAlternative = reader.boolean("a");
     message.isRetry = reader.has("n") && reader.boolean("n");
     message.deadline = readDuration(reader, "d");
     message.target = readDuration(reader, "t");
-    message.request.method = reader.text("m", maxTextBytes);
-    message.request.target = reader.text("u", maxTextBytes);
+    message.request.method = reader.text("m");
+    message.request.target = reader.text("u");
     message.request.headers = readHeaders(reader);
     message.request.body = std::move(body);
     return message;
@@ -582,7 +603,6 @@
 
 [[nodiscard]] static forward_outcome readForwardOutcome(field_reader& reader, std::string&& body)
 {
-    constexpr std::uint64_t maxStatus = 999;
     if (reader.has("s")) {
         opaque_response response;
         response.status = static_cast<int>(reader.unsignedInteger("s", maxStatus));
@@ -598,7 +618,7 @@
         refusal.isFinal = reader.boolean("z");
         return refusal;
     }
-    return forward_failure { reader.text("f", maxTextBytes) };
+    return forward_failure { reader.text("f") };
 }
 
 [[nodiscard]] static peer_message readForwardAnswer(field_reader& reader, std::string&& body)
@@ -612,7 +632,7 @@
     message.load = readLoad(reader, "l");
     message.upstreamTime = readDuration(reader, "u");
     if (reader.has("v"))
-        message.leavingUpstream = reader.text("v", maxTextBytes);
+        message.leavingUpstream = reader.text("v");
     const bool hasBody = !body.empty();
     message.outcome = readForwardOutcome(reader, std::move(body));
     if (hasBody && !std::holds_alternative<opaque_response>(message.outcome))
@@ -623,49 +643,49 @@
 [[nodiscard]] static peer_message readUpstreamStatus(field_reader& reader, std::string&&)
 {
     upstream_status_message message;
-    message.upstream = reader.text("upstream", maxTextBytes);
-    message.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
+    message.upstream = reader.text("upstream");
+    message.startedAt = reader.integer("started_ms", 0, maxOffset);
     message.isServing = reader.boolean("serving");
     message.isLeaving = reader.boolean("leaving");
     message.remainingWarmUp = readDuration(reader, "warm_up_us");
     message.load = readLoad(reader, "load");
-    message.catalogueVersion = reader.integer("catalogue", -1, INT64_MAX / 2);
+    message.catalogueVersion = reader.integer("catalogue", -1, maxOffset);
     return message;
 }
 
 [[nodiscard]] static entry_caller_count readCallerCount(field_reader& reader)
 {
     entry_caller_count count;
-    count.entry = reader.text("e", maxTextBytes);
-    count.caller = reader.text("c", maxTextBytes);
+    count.entry = reader.text("e");
+    count.caller = reader.text("c");
     count.count = readCount(reader, "n");
     return count;
 }
 
 [[nodiscard]] static peer_message readEntryCallers(field_reader& reader, std::string&&)
 {
-    return entry_callers_message { readItems(reader, "counts", maxNames, &readCallerCount) };
+    return entry_callers_message { readItems(reader, "counts", &readCallerCount) };
 }
 
 [[nodiscard]] static entry_service_time readServiceTime(field_reader& reader)
 {
     entry_service_time time;
-    time.entry = reader.text("e", maxTextBytes);
+    time.entry = reader.text("e");
     time.time = readDuration(reader, "us");
     return time;
 }
 
 [[nodiscard]] static peer_message readServiceTimes(field_reader& reader, std::string&&)
 {
-    return service_times_message { readItems(reader, "times", maxNames, &readServiceTime) };
+    return service_times_message { readItems(reader, "times", &readServiceTime) };
 }
 
 [[nodiscard]] static peer_message readReportedNotices(field_reader& reader, std::string&&)
 {
     reported_notices_message message;
-    message.upstream = reader.text("upstream", maxTextBytes);
+    message.upstream = reader.text("upstream");
     message.isLeaving = reader.boolean("leaving");
-    message.startedAt = reader.integer("started_ms", 0, INT64_MAX / 2);
+    message.startedAt = reader.integer("started_ms", 0, maxOffset);
     if (reader.has("rate"))
         message.rate = static_cast<double>(reader.unsignedInteger("rate", UINT32_MAX)) / rateUnitsPerRequest;
     return message;
@@ -674,8 +694,8 @@
 [[nodiscard]] static peer_message readCrashReport(field_reader& reader, std::string&&)
 {
     crash_report_message message;
-    message.upstream = reader.text("upstream", maxTextBytes);
-    for (const wire_json& item : reader.list("digests", maxRecords)) {
+    message.upstream = reader.text("upstream");
+    for (const wire_json& item : reader.list("digests")) {
         if (!item.is_number_unsigned()) {
             reader.fail("digests", "a list of numbers");
             return message;
@@ -696,14 +716,14 @@
 
 [[nodiscard]] static peer_message readQuarantine(field_reader& reader, std::string&&)
 {
-    return quarantine_message { readItems(reader, "entries", maxRecords, &readQuarantineEntry) };
+    return quarantine_message { readItems(reader, "entries", &readQuarantineEntry) };
 }
 
 [[nodiscard]] static peer_message readForwardOffer(field_reader& reader, std::string&&)
 {
     forward_offer message;
     message.id = call_id { reader.unsignedInteger("id") };
-    message.service = reader.text("service", maxTextBytes);
+    message.service = reader.text("service");
     message.bodyBytes = reader.unsignedInteger("bytes");
     return message;
 }
@@ -758,12 +778,12 @@
 [[nodiscard]] static key_record readRecord(field_reader& reader)
 {
     key_record record;
-    record.key = reader.text("key", maxTextBytes);
-    record.entry = reader.text("entry", maxTextBytes);
+    record.key = reader.text("key");
+    record.entry = reader.text("entry");
     record.bodyHash = reader.unsignedInteger("body_hash");
     record.remainingWindow = readDuration(reader, "window_us");
     record.isRunning = reader.boolean("running");
-    std::string body = reader.has("body") ? reader.text("body", maxFrameBytes) : std::string {};
+    std::string body = reader.has("body") ? reader.text("body") : std::string {};
     record.outcome = readOutcome(reader, std::move(body));
     return record;
 }
@@ -774,7 +794,7 @@
     message.viewOffset = readOffset(reader, "view_offset");
     message.isComplete = reader.boolean("complete");
     message.completeSince = readTime(reader, "complete_since_us");
-    message.records = readItems(reader, "entries", maxRecords, &readRecord);
+    message.records = readItems(reader, "entries", &readRecord);
     return message;
 }
 
@@ -794,8 +814,8 @@
 [[nodiscard]] static peer_message readCatchUp(field_reader& reader, std::string&&)
 {
     catch_up_message message;
-    message.catalogue = reader.text("catalogue", maxFrameBytes);
-    message.membership = reader.text("membership", maxFrameBytes);
+    message.catalogue = reader.text("catalogue");
+    message.membership = reader.text("membership");
     message.storeEra = reader.unsignedInteger("era");
     message.membershipFrom = readOffset(reader, "membership_from");
     message.membershipOffset = readOffset(reader, "membership_offset");
@@ -830,10 +850,31 @@
     { "quarantine", &readQuarantine, false }, { "fwd_offer", &readForwardOffer, false },
     { "fwd_grant", &readForwardGrant, false } };
 
+struct frame_parts {
+    wire_json header;
+    std::string_view body;
+};
+
+[[nodiscard]] static result<frame_parts> separate(std::string_view frame)
+{
+    if (frame.size() < lengthBytes || frame.size() > maxFrameBytes)
+        return error { error_kind::malformed_frame,
+            "the frame size is outside the limits of 4 bytes to 16 MiB; split the message" };
+    const std::size_t length = loadLength(frame);
+    frame.remove_prefix(lengthBytes);
+    if (length > frame.size())
+        return error { error_kind::malformed_frame,
+            "the frame is truncated within its header; send the complete frame" };
+    result<wire_json> header = parseCborMap(frame.substr(0, length));
+    if (!hasValue(header))
+        return errorOf(header);
+    return frame_parts { valueOf(std::move(header)), frame.substr(length) };
+}
+
 [[nodiscard]] static result<peer_message> decodeParts(const wire_json& header, std::string_view body)
 {
     field_reader reader { header, "frame" };
-    const std::string kind = reader.text("k", maxTextBytes);
+    const std::string kind = reader.text("k");
     if (reader.fault())
         return *reader.fault();
     for (const message_kind& entry : messageKinds) {
@@ -844,6 +885,8 @@
         peer_message message = entry.read(reader, std::string { body });
         if (reader.fault())
             return *reader.fault();
+        if (const std::optional<error> excess = findExcess(message))
+            return *excess;
         return message;
     }
     return error { error_kind::unknown_message, "unknown message kind; run the same version on both nodes" };
@@ -853,8 +896,10 @@
 
 std::string_view kindOf(const peer_message& message) { return std::visit(internal::kind_namer {}, message); }
 
-std::string encode(const peer_message& message)
+result<std::string> encode(const peer_message& message)
 {
+    if (const std::optional<error> excess = findExcess(message))
+        return *excess;
     const internal::wire_json header = std::visit(internal::header_writer {}, message);
     constexpr std::size_t typicalHeaderBytes = 400;
     const std::string* body = internal::bodyOf(message);
@@ -865,23 +910,18 @@
     internal::storeLength(frame, frame.size() - internal::lengthBytes);
     if (body != nullptr)
         frame.append(*body);
+    if (frame.size() > maxFrameBytes)
+        return error { error_kind::malformed_frame,
+            "the frame has " + std::to_string(frame.size()) + " bytes; send at most " + std::to_string(maxFrameBytes) };
     return frame;
 }
 
 result<peer_message> decode(std::string_view frame)
 {
-    if (frame.size() < internal::lengthBytes || frame.size() > maxFrameBytes)
-        return error { error_kind::malformed_frame,
-            "the frame size is outside the limits of 4 bytes to 16 MiB; split the message" };
-    const std::size_t length = internal::loadLength(frame);
-    frame.remove_prefix(internal::lengthBytes);
-    if (length > frame.size())
-        return error { error_kind::malformed_frame,
-            "the frame is truncated within its header; send the complete frame" };
-    const result<internal::wire_json> header = internal::parseCborMap(frame.substr(0, length));
-    if (!hasValue(header))
-        return errorOf(header);
-    return internal::decodeParts(valueOf(header), frame.substr(length));
+    const result<internal::frame_parts> parts = internal::separate(frame);
+    if (!hasValue(parts))
+        return errorOf(parts);
+    return internal::decodeParts(valueOf(parts).header, valueOf(parts).body);
 }
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/wire/codec.hpp
+++ b/src/knapweedcroft/wire/codec.hpp
@@ -2,23 +2,22 @@
 #define KNAPWEEDCROFT_WIRE_CODEC_HPP
 
 #include "knapweedcroft/core/error.hpp"
+#include "knapweedcroft/wire/limits.hpp"
 #include "knapweedcroft/wire/messages.hpp"
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace knapweedcroft {
 
-/** @brief Maximum size of a frame in bytes. */
-inline constexpr std::size_t maxFrameBytes = std::size_t { 16 } * 1024 * 1024;
-
 /**
  * @brief Encodes a message as one frame: header length (u32, big-endian), CBOR header, raw body.
  *
  * Durations are encoded in microseconds. Only calls, opaque requests and the answers to them have a body.
+ * Numbers beyond the limits of the wire are replaced by the closest one that it can carry.
+ * @return The frame, or an error of kind `malformed_frame` if `decode` would refuse it for its size.
  */
-[[nodiscard]] std::string encode(const peer_message& message);
+[[nodiscard]] result<std::string> encode(const peer_message& message);
 
 /** @brief Returns the name of a message's kind on the wire. */
 [[nodiscard]] std::string_view kindOf(const peer_message& message);
--- a/src/knapweedcroft/wire/internal_cbor.cpp
+++ b/src/knapweedcroft/wire/internal_cbor.cpp
@@ -207,27 +207,27 @@
     return value->get<bool>();
 }
 
-std::string field_reader::text(const char* field, std::size_t maxBytes)
+std::string field_reader::text(const char* field)
 {
-    constexpr std::string_view requirement = "a string within its size limit";
+    constexpr std::string_view requirement = "a string";
     const wire_json* value = require(field, requirement);
     if (value == nullptr)
         return {};
     const std::string* text = value->get_ptr<const std::string*>();
-    if (text == nullptr || text->size() > maxBytes) {
+    if (text == nullptr) {
         fail(field, requirement);
         return {};
     }
     return *text;
 }
 
-const wire_json& field_reader::list(const char* field, std::size_t maxItems)
+const wire_json& field_reader::list(const char* field)
 {
     const wire_json* value = lookUp(field);
     if (value == nullptr)
         return emptyList;
-    if (!value->is_array() || value->size() > maxItems) {
-        fail(field, "a list within its size limit");
+    if (!value->is_array()) {
+        fail(field, "a list");
         return emptyList;
     }
     return *value;
--- a/src/knapweedcroft/wire/internal_cbor.hpp
+++ b/src/knapweedcroft/wire/internal_cbor.hpp
@@ -79,11 +79,11 @@
     /** @brief Returns a boolean. */
     [[nodiscard]] bool boolean(const char* field);
 
-    /** @brief Returns a string of at most `maxBytes`. */
-    [[nodiscard]] std::string text(const char* field, std::size_t maxBytes);
+    /** @brief Returns a string. */
+    [[nodiscard]] std::string text(const char* field);
 
-    /** @brief Returns a list of at most `maxItems`, or an empty list if the field is absent. */
-    [[nodiscard]] const wire_json& list(const char* field, std::size_t maxItems);
+    /** @brief Returns a list, or an empty list if the field is absent. */
+    [[nodiscard]] const wire_json& list(const char* field);
 
     /** @brief Returns a nested value, or null if it is absent. */
     [[nodiscard]] const wire_json& child(const char* field);
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -226,7 +226,7 @@
 struct forward_answer {
     call_id id; /*!< Identifier of the request at its sender. */
     forward_outcome outcome;
-    upstream_load load;
+    upstream_load load; /*!< Without slots if the load is unknown. */
     bool isCalledByUpstreamsOnly = false; /*!< The entry of the request is called by upstreams only. */
     /** @brief Admission ratio, 0 to 1: share of new work that can be admitted here and by called services. */
     double admissionRatio = 1.0;
--- a/test/knapweedcroft/gateway/gateway_group.cpp
+++ b/test/knapweedcroft/gateway/gateway_group.cpp
@@ -268,7 +268,7 @@
                 ++traffic.messages;
                 traffic.catchUps += std::holds_alternative<catch_up_request_message>(sent->message) ? 1U : 0U;
                 const bool isRemote = m_nodes.at(peer)->settings.data_centre != self.settings.data_centre;
-                traffic.remoteBytes += isRemote ? encode(sent->message).size() : 0U;
+                traffic.remoteBytes += isRemote ? valueOf(encode(sent->message)).size() : 0U;
             }
             at(m_now, [this, name, peer, message = std::move(sent->message)] {
                 handle(peer, message_received { name, message });
--- a/test/knapweedcroft/net/peer_hub.cpp
+++ b/test/knapweedcroft/net/peer_hub.cpp
@@ -93,7 +93,7 @@
 // Guards against invalid data, from a peer of another version or an unrelated client, that terminates the process.
 TEST_F(peer_hub_test, ClosesALinkOnAnInvalidMessage)
 {
-    const std::vector<std::string> openings { "no frame", encode(ping_message { 1 }) };
+    const std::vector<std::string> openings { "no frame", valueOf(encode(ping_message { 1 })) };
     for (const std::string& first : openings) {
         std::unique_ptr<peer_link> link;
         bool isClosed = false;
@@ -117,7 +117,7 @@
     handlers.opened = [&] {
         hello_message hello;
         hello.node = "stray";
-        link->send(encode(hello), std::nullopt);
+        link->send(valueOf(encode(hello)), std::nullopt);
         link->send("no frame", std::nullopt);
     };
     handlers.received = [](std::string_view) {};
@@ -130,6 +130,49 @@
     EXPECT_EQ(m_b.count<link_closed>(), 0U);
 }
 
+// Guards against a request or an answer beyond the limits of the wire that ends the link, or is never answered.
+TEST_F(peer_hub_test, AnswersOnlyTheCallThatIsBeyondTheLimits)
+{
+    linkUp();
+    forward_request request;
+    request.id = call_id { 5 };
+    request.request.headers.assign(maxHeadBytes, { "a", "" });
+    m_a.hub().send(send_to_peer { "a2", request });
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_a.count<message_received>() == 1; }, testTimeout));
+    const forward_answer refused = std::get<forward_answer>(m_a.last<message_received>().message);
+    EXPECT_EQ(refused.id, call_id { 5 });
+    EXPECT_TRUE(std::holds_alternative<forward_refusal>(refused.outcome));
+    forward_answer answer;
+    answer.id = call_id { 6 };
+    answer.outcome = opaque_response { 200, request.request.headers, {} };
+    m_b.hub().send(send_to_peer { "a1", answer });
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_a.count<message_received>() == 2; }, testTimeout));
+    const forward_answer failed = std::get<forward_answer>(m_a.last<message_received>().message);
+    EXPECT_EQ(failed.id, call_id { 6 });
+    EXPECT_TRUE(std::holds_alternative<forward_failure>(failed.outcome));
+    EXPECT_EQ(m_a.count<link_closed>() + m_b.count<link_closed>(), 0U);
+}
+
+// Guards against a link that ends as soon as it opens because a node counts many entries and callers.
+TEST_F(peer_hub_test, CarriesLongReports)
+{
+    linkUp();
+    entry_callers_message callers;
+    for (std::uint32_t number = 0; number < 1040; ++number)
+        callers.counts.push_back({ "e" + std::to_string(number), "visits", number });
+    m_a.hub().send(send_to_peer { "a2", callers });
+    const auto received = [this] {
+        std::size_t items = 0;
+        for (const node_event& event : m_b.events()) {
+            if (const message_received* message = std::get_if<message_received>(&event))
+                items += std::get<entry_callers_message>(message->message).counts.size();
+        }
+        return items;
+    };
+    EXPECT_TRUE(m_loop.runUntil([&received, &callers] { return received() == callers.counts.size(); }, testTimeout));
+    EXPECT_EQ(m_b.count<link_closed>(), 0U);
+}
+
 class peer_fault_test : public testing::Test {
 protected:
     void linkUp()
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -138,13 +138,15 @@
                 upstream_load { 1, 2, 3, milliseconds { 4 } }, 12 } } };
 }
 
-[[nodiscard]] std::string frameOf(const nlohmann::json& header, const std::string& body = {})
+[[nodiscard]] std::string frameOf(const peer_message& message) { return valueOf(encode(message)); }
+
+[[nodiscard]] std::string makeFrame(const nlohmann::json& header, const std::string& body = {})
 {
     std::string bytes;
     nlohmann::json::to_cbor(header, bytes);
     std::string frame(4, '\0');
-    frame[2] = static_cast<char>(bytes.size() >> 8U);
-    frame[3] = static_cast<char>(bytes.size() & 0xFFU);
+    for (std::size_t index = 0; index < frame.size(); ++index)
+        frame[index] = static_cast<char>((bytes.size() >> (8U * (3 - index))) & 0xFFU);
     return frame + bytes + body;
 }
 
@@ -154,21 +156,21 @@
 TEST(Codec, RoundTripKeepsEveryField)
 {
     for (const named_message& item : everyMessage()) {
-        const std::string frame = encode(item.message);
+        const std::string frame = frameOf(item.message);
         const result<peer_message> decoded = decode(frame);
         ASSERT_TRUE(hasValue(decoded)) << item.name << ": " << errorOf(decoded).message;
         EXPECT_EQ(valueOf(decoded).index(), item.message.index()) << item.name;
-        EXPECT_EQ(encode(valueOf(decoded)), frame) << item.name;
+        EXPECT_EQ(frameOf(valueOf(decoded)), frame) << item.name;
     }
-    const result<peer_message> call = decode(encode(keyedCall()));
+    const result<peer_message> call = decode(frameOf(keyedCall()));
     EXPECT_EQ(std::get<call_request>(valueOf(call)).body, keyedCall().body);
     EXPECT_EQ(std::get<call_request>(valueOf(call)).key, keyedCall().key);
     EXPECT_EQ(std::get<call_request>(valueOf(call)).deadline, keyedCall().deadline);
-    const result<peer_message> forward = decode(encode(fullForward()));
+    const result<peer_message> forward = decode(frameOf(fullForward()));
     EXPECT_EQ(std::get<forward_request>(valueOf(forward)).request, fullForward().request);
     EXPECT_EQ(std::get<forward_request>(valueOf(forward)).target, fullForward().target);
     EXPECT_EQ(std::get<forward_request>(valueOf(forward)).requestId, fullForward().requestId);
-    const result<peer_message> answer = decode(encode(fullAnswer()));
+    const result<peer_message> answer = decode(frameOf(fullAnswer()));
     EXPECT_EQ(std::get<call_answer>(valueOf(answer)).outcome, fullAnswer().outcome);
     EXPECT_EQ(std::get<call_answer>(valueOf(answer)).thresholds, fullAnswer().thresholds);
     EXPECT_EQ(std::get<call_answer>(valueOf(answer)).thresholdValidity, fullAnswer().thresholdValidity);
@@ -179,7 +181,7 @@
 TEST(Codec, RefusesHeadersCutAtAnyByte)
 {
     for (const named_message& item : everyMessage()) {
-        const std::string frame = encode(item.message);
+        const std::string frame = frameOf(item.message);
         const std::size_t header
             = 4 + (static_cast<unsigned char>(frame[2]) << 8U | static_cast<unsigned char>(frame[3]));
         for (std::size_t size = 0; size < header; ++size)
@@ -193,14 +195,14 @@
     const std::vector<nlohmann::json> replacements { nullptr, -5, 1.5, "x", true, nlohmann::json::array({ 1 }),
         { { "a", 1 } }, UINT64_MAX };
     for (const named_message& item : everyMessage()) {
-        const std::string frame = encode(item.message);
+        const std::string frame = frameOf(item.message);
         const std::size_t size = (static_cast<unsigned char>(frame[2]) << 8U) | static_cast<unsigned char>(frame[3]);
         const nlohmann::json header = nlohmann::json::from_cbor(frame.substr(4, size));
         for (const auto& field : header.items()) {
             for (const nlohmann::json& replacement : replacements) {
                 nlohmann::json changed = header;
                 changed[field.key()] = replacement;
-                const result<peer_message> decoded = decode(frameOf(changed, frame.substr(4 + size)));
+                const result<peer_message> decoded = decode(makeFrame(changed, frame.substr(4 + size)));
                 const bool isSameType = replacement.type() == field.value().type()
                     || (replacement.is_number_integer() && field.value().is_number_integer());
                 EXPECT_FALSE(hasValue(decoded) && !isSameType) << item.name << " " << field.key() << " " << replacement;
@@ -217,19 +219,18 @@
 
 TEST(Codec, RefusesFaultyFrames)
 {
-    const nlohmann::json names(2000, "n");
-    const nlohmann::json records(70'000, nlohmann::json::object());
-    nlohmann::json heartbeat = nlohmann::json::from_cbor(encode(heartbeat_message {}).substr(4));
+    const nlohmann::json names(70'000, "n");
+    nlohmann::json heartbeat = nlohmann::json::from_cbor(frameOf(heartbeat_message {}).substr(4));
     heartbeat["suspects"] = names;
     const std::string deep(100'000, '\x81');
     std::string huge("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9);
     const std::vector<frame_fault> faults { { "empty", "", error_kind::malformed_frame },
-        { "no map", frameOf(nlohmann::json::array()), error_kind::malformed_frame },
-        { "no kind", frameOf({ { "id", 1 } }), error_kind::malformed_frame },
-        { "unknown kind", frameOf({ { "k", "shout" } }), error_kind::unknown_message },
-        { "id missing", frameOf({ { "k", "cancel" } }), error_kind::malformed_frame },
-        { "body where none belongs", frameOf({ { "k", "cancel" }, { "id", 1U } }, "x"), error_kind::malformed_frame },
-        { "list too long", frameOf(heartbeat), error_kind::malformed_frame },
+        { "no map", makeFrame(nlohmann::json::array()), error_kind::malformed_frame },
+        { "no kind", makeFrame({ { "id", 1 } }), error_kind::malformed_frame },
+        { "unknown kind", makeFrame({ { "k", "shout" } }), error_kind::unknown_message },
+        { "id missing", makeFrame({ { "k", "cancel" } }), error_kind::malformed_frame },
+        { "body where none belongs", makeFrame({ { "k", "cancel" }, { "id", 1U } }, "x"), error_kind::malformed_frame },
+        { "list too long", makeFrame(heartbeat), error_kind::malformed_frame },
         { "nested too deeply", std::string("\0\x01\x86\xa0", 4) + deep, error_kind::malformed_frame },
         { "length of a list beyond the frame", std::string("\0\0\0\x09", 4) + huge, error_kind::malformed_frame },
         { "length beyond the frame", std::string("\xff\xff\xff\xff\xa0", 5), error_kind::malformed_frame },
@@ -248,7 +249,7 @@
     std::mt19937_64 random { seed };
     std::vector<std::string> frames;
     for (const named_message& item : everyMessage())
-        frames.push_back(encode(item.message));
+        frames.push_back(frameOf(item.message));
     std::size_t accepted = 0;
     for (int round = 0; round < 60'000; ++round) {
         std::string frame = frames[random() % frames.size()];
@@ -256,7 +257,7 @@
         for (std::size_t change = 0; change < changes; ++change)
             frame[4 + random() % (frame.size() - 4)] = static_cast<char>(random());
         const result<peer_message> decoded = decode(frame);
-        if (hasValue(decoded) && !encode(valueOf(decoded)).empty())
+        if (hasValue(decoded) && !frameOf(valueOf(decoded)).empty())
             ++accepted;
     }
     EXPECT_LT(accepted, 60'000U);
@@ -271,10 +272,10 @@
         report.digests.push_back(digest);
         suspects.entries.push_back({ digest, 1, {} });
     }
-    const result<peer_message> reportRead = decode(encode(report));
+    const result<peer_message> reportRead = decode(frameOf(report));
     ASSERT_TRUE(hasValue(reportRead)) << errorOf(reportRead).message;
     EXPECT_EQ(std::get<crash_report_message>(valueOf(reportRead)).digests, report.digests);
-    const result<peer_message> suspectsRead = decode(encode(suspects));
+    const result<peer_message> suspectsRead = decode(frameOf(suspects));
     ASSERT_TRUE(hasValue(suspectsRead)) << errorOf(suspectsRead).message;
     EXPECT_EQ(std::get<quarantine_message>(valueOf(suspectsRead)).entries, suspects.entries);
 }
