Answer a message that cannot be read for its call alone

Cause: peer_hub ended the link on any error of decode, although a WebSocket message keeps the framing and mostly names its kind and its call.

Change: a request that cannot be read is refused as not run, an answer becomes a failure of its call, a message of no call is dropped. The link ends only where the call is unknown, or before the hello. A link that ends with calls on it logs their number, and links_* in the metrics count them.

The test of hand-overs used no generated outcome; it does now.

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -354,7 +354,10 @@
         sent[std::string { item.first }] = { { "messages", item.second.messages }, { "bytes", item.second.bytes },
             { "remote_bytes", item.second.remoteBytes } };
     values["sent_to_peers"] = std::move(sent);
-    values["links"] = { { "untransferable_messages", m_hub.faults().untransferableMessages } };
+    const link_fault_counts& faults = m_hub.faults();
+    values["links"] = { { "ended", faults.endedLinks }, { "ended_calls", faults.endedCalls },
+        { "unwritten_calls", faults.unwrittenCalls }, { "unreadable_messages", faults.unreadableMessages },
+        { "untransferable_messages", faults.untransferableMessages } };
     values.update(m_metrics.describe());
     std::string text;
     internal::appendMetrics(values, "knapweed", text);
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -2,7 +2,6 @@
 
 #include "knapweedcroft/net/socket_options.hpp"
 #include "knapweedcroft/wire/codec.hpp"
-#include "knapweedcroft/wire/substitutes.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -240,8 +239,7 @@
         return;
     result<peer_message> message = decode(frame);
     if (!hasValue(message)) {
-        log(log_level::warning, "invalid_message", *record, errorOf(message).message);
-        record->link->abort(errorOf(message).message);
+        onUnreadableFrame(*record, frame, errorOf(message));
         return;
     }
     record->isReplyExpected = false;
@@ -258,6 +256,26 @@
         onMessage(*record, valueOf(std::move(message)));
 }
 
+// A message of one call that cannot be read is answered for that call. The link, with all other calls on it, ends only
+// if it is unknown which call the message belongs to.
+void peer_hub::onUnreadableFrame(link_record& record, std::string_view frame, const error& reason)
+{
+    const std::optional<message_subject> subject = subjectOfFrame(frame);
+    log(log_level::warning, "invalid_message", record,
+        subject ? "kind " + subject->kind + ": " + reason.message : reason.message);
+    const bool isCallUnknown = !subject || (concernsCall(*subject) && !subject->call);
+    if (!record.hello || isCallUnknown || subject->kind == kindOf(hello_message {})) {
+        record.link->abort(reason.message);
+        return;
+    }
+    ++m_faults.unreadableMessages;
+    record.isReplyExpected = false;
+    if (const std::optional<peer_message> refusal = refuseUntransferred(*subject))
+        sendMessage(record, *refusal, std::nullopt);
+    else if (std::optional<peer_message> failure = failUntransferred(*subject))
+        onMessage(record, std::move(*failure));
+}
+
 void peer_hub::onHello(link_record& record, const hello_message& hello)
 {
     const bool isExpected = record.expectedPeer.empty() || record.expectedPeer == hello.node;
@@ -452,6 +470,14 @@
     old.phase = link_phase::retiring;
     peer.activeLink = 0;
     peer.state.fire(peer_link_event::closed);
+    ++m_faults.endedLinks;
+    m_faults.endedCalls += peer.pendingCalls.size();
+    m_faults.unwrittenCalls += unwritten.size();
+    if (!peer.pendingCalls.empty()) {
+        log(log_level::warning, "link_calls_ended", old,
+            std::string { reason } + "; calls: " + std::to_string(peer.pendingCalls.size())
+                + ", not written: " + std::to_string(unwritten.size()));
+    }
     peer.pendingCalls.clear();
     if (unwritten.empty() && reason == "no longer wanted")
         old.link->close();
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -43,6 +43,10 @@
 
 /** @brief Faults of the links to all peers since the start. */
 struct link_fault_counts {
+    std::uint64_t endedLinks = 0; /*!< Active links that ended, for whatever reason. */
+    std::uint64_t endedCalls = 0; /*!< Unanswered calls of this node on these links. */
+    std::uint64_t unwrittenCalls = 0; /*!< Part of them that can be sent on another link. */
+    std::uint64_t unreadableMessages = 0; /*!< Received messages that were answered or dropped one by one. */
     std::uint64_t untransferableMessages = 0; /*!< Messages of this node beyond the limits of the wire. */
 };
 
@@ -186,6 +190,7 @@
 
     void onOpened(std::uint64_t id);
     void onFrame(std::uint64_t id, std::string_view frame);
+    void onUnreadableFrame(link_record& record, std::string_view frame, const error& reason);
     void onPong(link_record& record, const pong_message& pong);
     void onClosed(std::uint64_t id, const link_end& end);
     void onHello(link_record& record, const hello_message& hello);
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -924,4 +924,20 @@
     return internal::decodeParts(valueOf(parts).header, valueOf(parts).body);
 }
 
+std::optional<message_subject> subjectOfFrame(std::string_view frame)
+{
+    const result<internal::frame_parts> parts = internal::separate(frame);
+    if (!hasValue(parts))
+        return std::nullopt;
+    internal::field_reader reader { valueOf(parts).header, "frame" };
+    message_subject subject;
+    subject.kind = reader.text("k");
+    if (reader.fault())
+        return std::nullopt;
+    const std::uint64_t call = reader.unsignedInteger("id");
+    if (!reader.fault())
+        subject.call = call_id { call };
+    return subject;
+}
+
 } // namespace knapweedcroft
--- a/src/knapweedcroft/wire/codec.hpp
+++ b/src/knapweedcroft/wire/codec.hpp
@@ -4,7 +4,9 @@
 #include "knapweedcroft/core/error.hpp"
 #include "knapweedcroft/wire/limits.hpp"
 #include "knapweedcroft/wire/messages.hpp"
+#include "knapweedcroft/wire/substitutes.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +31,13 @@
  */
 [[nodiscard]] result<peer_message> decode(std::string_view frame);
 
+/**
+ * @brief Finds out what a frame is about that `decode` refuses.
+ * @return The kind of the message and the call that it names, or nothing if its header cannot be separated from the
+ * rest or parsed.
+ */
+[[nodiscard]] std::optional<message_subject> subjectOfFrame(std::string_view frame);
+
 } // namespace knapweedcroft
 
 #endif
--- a/test/knapweedcroft/net/peer_hub.cpp
+++ b/test/knapweedcroft/net/peer_hub.cpp
@@ -130,6 +130,142 @@
     EXPECT_EQ(m_b.count<link_closed>(), 0U);
 }
 
+// A peer that writes frames of its own, as one of another version or with a fault does.
+class foreign_peer {
+public:
+    foreign_peer(event_loop& loop, const std::string& address, const std::string& name)
+        : m_name { name }
+        , m_link { valueOf(peer_link::connect(loop, address, link_purpose::regular, handlers())) }
+    {
+    }
+
+    void send(const std::string& frame, std::optional<call_id> call = std::nullopt) { m_link->send(frame, call); }
+    [[nodiscard]] bool isOpen() const noexcept { return m_isOpen; }
+    [[nodiscard]] const std::vector<peer_message>& received() const noexcept { return m_received; }
+
+    /** @brief Returns the last message of a type, or null. */
+    template <typename Message> [[nodiscard]] const Message* last() const
+    {
+        const Message* found = nullptr;
+        for (const peer_message& message : m_received) {
+            if (const Message* candidate = std::get_if<Message>(&message))
+                found = candidate;
+        }
+        return found;
+    }
+
+private:
+    [[nodiscard]] peer_link_handlers handlers()
+    {
+        peer_link_handlers receivers;
+        receivers.opened = [this] {
+            m_isOpen = true;
+            hello_message hello;
+            hello.node = m_name;
+            send(valueOf(encode(hello)));
+        };
+        receivers.received = [this](std::string_view frame) { m_received.push_back(valueOf(decode(frame))); };
+        receivers.closed = [this](const link_end&) { m_isOpen = false; };
+        return receivers;
+    }
+
+    std::string m_name;
+    bool m_isOpen = false;
+    std::vector<peer_message> m_received;
+    std::unique_ptr<peer_link> m_link;
+};
+
+// Makes a frame whose header has a field of the wrong type, so that only the kind and the call can be read.
+[[nodiscard]] static std::string makeUnreadableFrame(const std::string& kind, std::uint64_t call)
+{
+    const std::string header = "\xa3\x61k" + std::string(1, static_cast<char>(0x60 + kind.size())) + kind + "\x62id"
+        + std::string(1, static_cast<char>(call)) + "\x61h\x01";
+    return std::string(3, '\0') + static_cast<char>(header.size()) + header;
+}
+
+class foreign_peer_test : public testing::Test {
+protected:
+    void linkUp()
+    {
+        ASSERT_TRUE(m_loop.runUntil(
+            [this] { return m_hub.count<link_opened>() == 1 && !m_peer.received().empty(); }, testTimeout));
+    }
+
+    event_loop m_loop;
+    hub_fixture m_hub { m_loop, "a1", 1 };
+    foreign_peer m_peer { m_loop, m_hub.address(), "a2" };
+};
+
+// Guards against a request that cannot be read and ends its link with all calls on it.
+TEST_F(foreign_peer_test, RefusesOnlyTheRequestThatCannotBeRead)
+{
+    linkUp();
+    m_peer.send(makeUnreadableFrame("fwd", 7));
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_peer.last<forward_answer>() != nullptr; }, testTimeout));
+    EXPECT_EQ(m_peer.last<forward_answer>()->id, call_id { 7 });
+    EXPECT_TRUE(std::holds_alternative<forward_refusal>(m_peer.last<forward_answer>()->outcome));
+    m_peer.send(makeUnreadableFrame("call", 8));
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_peer.last<call_answer>() != nullptr; }, testTimeout));
+    EXPECT_EQ(m_peer.last<call_answer>()->id, call_id { 8 });
+    EXPECT_TRUE(std::holds_alternative<refused_not_run>(m_peer.last<call_answer>()->outcome));
+    EXPECT_EQ(m_hub.count<link_closed>() + m_hub.count<message_received>(), 0U);
+    EXPECT_EQ(m_hub.hub().faults().unreadableMessages, 2U);
+}
+
+// Guards against an answer that cannot be read and ends its link with all calls on it, or leaves its call waiting.
+TEST_F(foreign_peer_test, FailsOnlyTheCallWhoseAnswerCannotBeRead)
+{
+    linkUp();
+    m_hub.hub().send(send_to_peer { "a2", callWithId(5) });
+    m_hub.hub().send(send_to_peer { "a2", callWithId(6) });
+    m_peer.send(makeUnreadableFrame("fwd_ans", 5));
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_hub.count<message_received>() == 1; }, testTimeout));
+    const forward_answer& answer = std::get<forward_answer>(m_hub.last<message_received>().message);
+    EXPECT_EQ(answer.id, call_id { 5 });
+    EXPECT_TRUE(std::holds_alternative<forward_failure>(answer.outcome));
+    EXPECT_EQ(m_hub.count<link_closed>(), 0U);
+}
+
+// Guards against a grant that cannot be read, for which a request would wait until its deadline.
+TEST_F(foreign_peer_test, RefusesTheOfferWhoseGrantCannotBeRead)
+{
+    linkUp();
+    m_peer.send(makeUnreadableFrame("fwd_grant", 5));
+    // The grant has no further fields, so it can be read; one with a body cannot.
+    m_peer.send(makeUnreadableFrame("fwd_grant", 6) + "body");
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_hub.count<message_received>() == 2; }, testTimeout));
+    const forward_answer& answer = std::get<forward_answer>(m_hub.last<message_received>().message);
+    EXPECT_EQ(answer.id, call_id { 6 });
+    EXPECT_TRUE(std::holds_alternative<forward_refusal>(answer.outcome));
+}
+
+// Guards against messages of a later version, or faulty ones of no call, that end the link.
+TEST_F(foreign_peer_test, DropsAMessageThatConcernsNoCall)
+{
+    linkUp();
+    m_peer.send(makeUnreadableFrame("shout", 1));
+    m_peer.send(makeUnreadableFrame("upstream", 1));
+    m_peer.send(valueOf(encode(callWithId(9))));
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_hub.count<message_received>() == 1; }, testTimeout));
+    EXPECT_EQ(std::get<call_request>(m_hub.last<message_received>().message).id, call_id { 9 });
+    EXPECT_EQ(m_hub.count<link_closed>(), 0U);
+}
+
+// Guards against calls that wait for ever because nobody knows which one a message belongs to.
+TEST_F(foreign_peer_test, EndsTheLinkWhenTheCallIsUnknown)
+{
+    linkUp();
+    m_hub.hub().send(send_to_peer { "a2", callWithId(5) });
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_peer.last<call_request>() != nullptr; }, testTimeout));
+    m_peer.send(std::string("\0\0\0\x0b\xa1\x61k\x67"
+                            "fwd_ans",
+        15));
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_hub.count<link_closed>() == 1; }, testTimeout));
+    EXPECT_EQ(m_hub.hub().faults().endedLinks, 1U);
+    EXPECT_EQ(m_hub.hub().faults().endedCalls, 1U);
+    EXPECT_EQ(m_hub.hub().faults().unwrittenCalls, 0U);
+}
+
 // Guards against a request or an answer beyond the limits of the wire that ends the link, or is never answered.
 TEST_F(peer_hub_test, AnswersOnlyTheCallThatIsBeyondTheLimits)
 {
--- a/test/knapweedcroft/wire/limits.cpp
+++ b/test/knapweedcroft/wire/limits.cpp
@@ -169,10 +169,12 @@
 
 [[nodiscard]] hand_over_message makeHandOver(message_generator& make)
 {
-    const key_record record { "key", "entry", UINT64_MAX, make.duration(), make.boolean(), make.outcome() };
-    return hand_over_message { make.number(), make.boolean(), make.time(), make.list<key_record>([&record] {
-                                  return key_record { "k", "e", 1, {}, true, failed_after_start {} };
-                              }) };
+    hand_over_message message { make.number(), make.boolean(), make.time(), make.list<key_record>([] {
+                                   return key_record { "k", "e", 1, {}, true, failed_after_start {} };
+                               }) };
+    message.records.push_back(
+        { make.text(), make.text(), UINT64_MAX, make.duration(), make.boolean(), make.outcome() });
+    return message;
 }
 
 [[nodiscard]] hello_message makeHello(message_generator& make)
--- a/test/platform/wide_headers.cpp
+++ b/test/platform/wide_headers.cpp
@@ -83,6 +83,7 @@
         for (const std::pair<const std::string, opaque_response>& answer : m_answers)
             EXPECT_EQ(answer.second.status, okStatus) << answer.first;
         EXPECT_EQ(m_answers[wideId].status, okStatus);
+        EXPECT_EQ(m_front.metric("knapweed_links_ended_calls"), 0.0);
     }
 
     event_loop m_loop;
