Deliver the answers that are ready when a process stops

Cause: responses go out in the order of the requests, and checkStop ended the loop at the deadline, whatever the server of the clients held. Nothing gave a final answer to what was pending.

The process also waits for unwritten bytes of its links.

--- a/src/knapweedcroft/gateway/events.hpp
+++ b/src/knapweedcroft/gateway/events.hpp
@@ -118,14 +118,19 @@
 
 /** @brief This node has to stop; its upstream may keep running. */
 struct stop_requested {
-    milliseconds grace; /*!< Time until the process ends. */
+    milliseconds grace; /*!< Time until unfinished requests are given up. */
+};
+
+/** @brief The process ends soon: nothing is started any more, and the given requests are answered at once. */
+struct requests_given_up {
+    std::vector<request_handle> handles;
 };
 
 /** @brief Input of a gateway. */
 using gateway_event = std::variant<client_request, client_disconnected, exchange_ended, upstream_checked,
     announcement_received, leave_received, record_stored, catalogue_read, directory_read, catalogue_confirmed,
-    store_era_changed, store_availability_changed, retry_settings_changed, stop_requested, link_suspected, link_opened,
-    link_closed, calls_lost, message_received, timer_fired>;
+    store_era_changed, store_availability_changed, retry_settings_changed, stop_requested, requests_given_up,
+    link_suspected, link_opened, link_closed, calls_lost, message_received, timer_fired>;
 
 } // namespace knapweedcroft
 
--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -548,6 +548,14 @@
             { "running", std::to_string(m_served.load(m_now).running) } }));
 }
 
+void gateway_core::on(const requests_given_up& event, gateway_actions& actions)
+{
+    m_served.stopStarting(m_now, actions);
+    // Requests of this node that waited for the upstream have not run, and get that answer.
+    deliverLocally(actions);
+    m_origin.giveUp(event.handles, m_now, actions);
+}
+
 // --- links
 
 void gateway_core::scheduleConnect(const node_name& node, milliseconds delay)
--- a/src/knapweedcroft/gateway/gateway_core.hpp
+++ b/src/knapweedcroft/gateway/gateway_core.hpp
@@ -85,6 +85,7 @@
     void on(const store_availability_changed& event, gateway_actions& actions);
     void on(const retry_settings_changed& event, gateway_actions& actions);
     void on(const stop_requested& event, gateway_actions& actions);
+    void on(const requests_given_up& event, gateway_actions& actions);
     void on(const link_suspected& event, gateway_actions& actions);
     void on(const link_opened& event, gateway_actions& actions);
     void on(const link_closed& event, gateway_actions& actions);
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -14,9 +14,6 @@
 static constexpr milliseconds minStall { 150 }; // Shorter delays of a tick are normal scheduling jitter.
 // Data that arrived during a stall is read within this time after it.
 static constexpr milliseconds stallBacklogTime { 200 };
-// Clients stop using a node after two consecutive failed health checks, at one check per second.
-static constexpr milliseconds healthCheckRemovalTime { 2300 };
-static constexpr milliseconds exitMargin { 400 };
 // An upstream on the same host accepts or refuses a connection at once, unless it is stopped or very busy.
 static constexpr milliseconds reachabilityTimeout { 100 };
 static constexpr std::size_t bytesPerMiB = std::size_t { 1024 } * 1024;
@@ -308,22 +305,32 @@
     if (m_isStopping)
         return;
     m_isStopping = true;
-    const time_point now = m_clock.now();
-    const milliseconds grace = m_settings.grace - internal::exitMargin;
-    m_stopDeadline = now + grace;
-    m_idleCloseAt = now + internal::healthCheckRemovalTime;
+    m_stopStart = m_clock.now();
+    m_stopSchedule = makeStopSchedule(m_settings.grace);
     m_server.startDraining();
-    handle(stop_requested { grace });
+    handle(stop_requested { m_stopSchedule.lastStart });
+}
+
+void gateway_runtime::giveUp(const std::vector<std::uint64_t>& requests)
+{
+    if (!requests.empty())
+        m_log.write(log_level::warning, "requests_given_up", { { "count", std::to_string(requests.size()) } });
+    handle(requests_given_up { requests });
 }
 
 void gateway_runtime::checkStop()
 {
-    const time_point now = m_clock.now();
-    const bool isOutOfRotation = m_idleCloseAt <= now;
+    const milliseconds elapsed = m_clock.now() - m_stopStart;
+    const bool isOutOfRotation = m_stopSchedule.idleClose <= elapsed;
     if (isOutOfRotation)
         m_server.closeIdle();
-    const bool isDone = isOutOfRotation && m_core.isIdle() && m_server.connectionCount() == 0;
-    if (!isDone && now < m_stopDeadline)
+    if (m_stopSchedule.lastAnswer <= elapsed)
+        giveUp(m_server.pendingRequests());
+    else if (m_stopSchedule.lastStart <= elapsed)
+        giveUp(m_server.blockingRequests());
+    const bool isDone
+        = isOutOfRotation && m_core.isIdle() && m_server.connectionCount() == 0 && m_hub.unwrittenBytes() == 0;
+    if (!isDone && elapsed < m_stopSchedule.end)
         return;
     m_log.write(log_level::info, "stopped", { { "unanswered", std::to_string(m_server.pendingCount()) } });
     m_loop.stop();
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -3,6 +3,7 @@
 
 #include "knapweedcroft/chart/chart_set.hpp"
 #include "knapweedcroft/gateway/gateway_core.hpp"
+#include "knapweedcroft/gateway/stop_schedule.hpp"
 #include "knapweedcroft/http/exchange_client.hpp"
 #include "knapweedcroft/http/pipelined_server.hpp"
 #include "knapweedcroft/http/reachability_check.hpp"
@@ -110,6 +111,7 @@
     void limitResponses();
     void tick();
     void checkStop();
+    void giveUp(const std::vector<std::uint64_t>& requests);
     [[nodiscard]] milliseconds stallCompensation() const;
     void onPeerEvent(node_event event);
 
@@ -133,8 +135,8 @@
     time_point m_lastTick;
     time_point m_stallCompensationEnd; /*!< Data read before may have arrived during a stall. */
     milliseconds m_stallDuration;
-    time_point m_stopDeadline;
-    time_point m_idleCloseAt;
+    stop_schedule m_stopSchedule;
+    time_point m_stopStart;
     bool m_isStopping = false;
 };
 
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -105,6 +105,23 @@
     m_processEnd = end;
 }
 
+void origin_requests::giveUp(const std::vector<request_handle>& handles, time_point now, gateway_actions& actions)
+{
+    m_isEnding = true;
+    for (const request_handle handle : handles) {
+        const auto position = m_idsByHandle.find(handle);
+        if (position == m_idsByHandle.end())
+            continue;
+        const std::uint64_t id = position->second;
+        origin_request& request = m_requests.at(id);
+        m_upstreamSelector.recordEnd(request.node, request.entry->name, std::nullopt, now);
+        actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+        request.mayHaveRun = request.mayHaveRun || !request.isOffered;
+        request.reason = refusal_reason::draining;
+        refuse(id, now, actions);
+    }
+}
+
 // Requests still running at the end of the process are lost, so requests that may outlast it are refused as not run
 // once clients have had time to notice the drain.
 bool origin_requests::isPastProcessEnd(const origin_request& request, time_point now) const
@@ -159,6 +176,11 @@
 void origin_requests::selectAndSend(std::uint64_t id, time_point now, gateway_actions& actions)
 {
     origin_request& request = m_requests.at(id);
+    if (m_isEnding) {
+        request.reason = refusal_reason::draining;
+        refuse(id, now, actions);
+        return;
+    }
     const quarantine_status status = quarantineStatusOf(request, now);
     if (status.isHeld()) {
         ++m_counters.quarantined;
@@ -331,8 +353,9 @@
     origin_request& request = m_requests.at(id);
     if (request.mayHaveRun) {
         ++m_counters.failed;
-        log(log_level::info, "request_failed", request, { { "cause", "no other upstream available for the retry" } },
-            now, actions);
+        const std::string cause
+            = m_isEnding ? "the node ends before the answer" : "no other upstream available for the retry";
+        log(log_level::info, "request_failed", request, { { "cause", cause }, { "node", request.node } }, now, actions);
         respond(
             id, internal::makeAnswer(502, "failed_after_start", "no whole answer came; it may have run", {}), actions);
         return;
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -58,12 +58,18 @@
     void setEntryTable(std::shared_ptr<const entry_table> table);
 
     /**
-     * @brief Starts draining: after a notice period, requests whose deadline is past the end of the process are refused
-     * as not run.
-     * @param end Time at which the process ends.
+     * @brief Starts draining: after a notice period, requests whose deadline is past the given time are refused as not
+     * run.
+     * @param end Time at which unfinished requests are given up.
      */
     void startDraining(time_point now, time_point end);
 
+    /**
+     * @brief Answers requests although they have not ended, because the process ends; from now on nothing is sent.
+     * @param handles Handles of the requests; unknown ones are ignored.
+     */
+    void giveUp(const std::vector<request_handle>& handles, time_point now, gateway_actions& actions);
+
     /** @brief Replaces the limits of the retry budget. */
     void configureRetries(const local_retry_budget_settings& settings) { m_retryBudget.configure(settings); }
 
@@ -170,8 +176,9 @@
     std::unordered_map<request_handle, std::uint64_t> m_idsByHandle;
     std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
     origin_request_counters m_counters;
-    std::optional<time_point> m_processEnd; /*!< End of the process; set while draining. */
+    std::optional<time_point> m_processEnd; /*!< Time at which requests are given up; set while draining. */
     time_point m_drainingSince;
+    bool m_isEnding = false; /*!< Nothing is sent any more. */
     std::uint64_t m_lastId = 0;
 };
 
--- a/src/knapweedcroft/gateway/served_requests.cpp
+++ b/src/knapweedcroft/gateway/served_requests.cpp
@@ -41,7 +41,7 @@
 {
     if (service != m_settings.service)
         return refusal_reason::no_upstream;
-    if (m_isDraining && peer != m_settings.node)
+    if (m_isEnding || (m_isDraining && peer != m_settings.node))
         return refusal_reason::draining;
     if (m_registry.isServing())
         return std::nullopt;
@@ -70,6 +70,12 @@
     actions.emplace_back(send_to_peer { peer, forward_grant { message.id } });
 }
 
+void served_requests::stopStarting(time_point now, gateway_actions& actions)
+{
+    m_isEnding = true;
+    apply(m_queue.refuseAll(refusal_reason::draining, now), now, actions);
+}
+
 void served_requests::release(const node_name& peer, call_id id)
 {
     const auto position = m_reservations.find({ peer, id });
--- a/src/knapweedcroft/gateway/served_requests.hpp
+++ b/src/knapweedcroft/gateway/served_requests.hpp
@@ -166,6 +166,9 @@
     /** @brief Refuses requests of other nodes from now on, ahead of a planned stop of this node. */
     void startDraining() { m_isDraining = true; }
 
+    /** @brief Starts nothing from now on and refuses what waits, so that its nodes can send it elsewhere. */
+    void stopStarting(time_point now, gateway_actions& actions);
+
     /** @brief Updates the admission ratio and refuses queued requests that have waited too long. */
     void poll(time_point now, gateway_actions& actions);
 
@@ -264,6 +267,7 @@
     served_request_counters m_counters;
     std::uint64_t m_lastId = 0;
     bool m_isDraining = false;
+    bool m_isEnding = false; /*!< Nothing is started any more. */
 };
 
 } // namespace knapweedcroft
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -54,6 +55,26 @@
         flush();
     }
 
+    // Adds the unanswered requests in front of the last answer that is ready.
+    void addBlockingRequests(std::vector<std::uint64_t>& requestIds) const
+    {
+        bool isAnswerBehind = false;
+        for (auto position = m_pipeline.rbegin(); position != m_pipeline.rend(); ++position) {
+            if (position->isAnswered)
+                isAnswerBehind = true;
+            else if (isAnswerBehind)
+                requestIds.push_back(position->id);
+        }
+    }
+
+    void addUnansweredRequests(std::vector<std::uint64_t>& requestIds) const
+    {
+        for (const pipelined_request& entry : m_pipeline) {
+            if (!entry.isAnswered)
+                requestIds.push_back(entry.id);
+        }
+    }
+
     [[nodiscard]] bool isIdle() const
     {
         return m_pipeline.empty() && !m_isReading && !m_hasStoppedReading
@@ -409,6 +430,24 @@
         position->second->answer(requestId, std::move(response), shouldClose);
 }
 
+std::vector<std::uint64_t> pipelined_server::blockingRequests() const
+{
+    std::vector<std::uint64_t> requestIds;
+    for (const std::pair<connection* const, std::unique_ptr<connection>>& item : m_connections)
+        item.second->addBlockingRequests(requestIds);
+    std::sort(requestIds.begin(), requestIds.end());
+    return requestIds;
+}
+
+std::vector<std::uint64_t> pipelined_server::pendingRequests() const
+{
+    std::vector<std::uint64_t> requestIds;
+    for (const std::pair<connection* const, std::unique_ptr<connection>>& item : m_connections)
+        item.second->addUnansweredRequests(requestIds);
+    std::sort(requestIds.begin(), requestIds.end());
+    return requestIds;
+}
+
 void pipelined_server::closeIdle()
 {
     std::vector<connection*> idle;
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -88,6 +88,12 @@
      */
     void startDraining() { m_isDraining = true; }
 
+    /** @brief Returns the unanswered requests of each connection behind which an answer is ready. */
+    [[nodiscard]] std::vector<std::uint64_t> blockingRequests() const;
+
+    /** @brief Returns all unanswered requests. */
+    [[nodiscard]] std::vector<std::uint64_t> pendingRequests() const;
+
     /** @brief Closes the connections that have no unanswered, no partly received request and no unsent response. */
     void closeIdle();
 
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -49,6 +49,14 @@
     return m_peers.try_emplace(name, m_linkChart).first->second;
 }
 
+std::size_t peer_hub::unwrittenBytes() const
+{
+    std::size_t bytes = 0;
+    for (const std::pair<const std::uint64_t, std::unique_ptr<link_record>>& item : m_links)
+        bytes += item.second->link->unwrittenBytes();
+    return bytes;
+}
+
 peer_link_state peer_hub::linkState(const node_name& peer) const
 {
     const auto position = m_peers.find(peer);
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -122,6 +122,9 @@
     /** @brief Returns the number of links, including those being opened or closed. */
     [[nodiscard]] std::size_t linkCount() const noexcept { return m_links.size(); }
 
+    /** @brief Returns the bytes that have been sent and not yet written to the sockets of all links. */
+    [[nodiscard]] std::size_t unwrittenBytes() const;
+
     /** @brief Returns the state of the link to a peer; `closed` for an unknown peer. */
     [[nodiscard]] peer_link_state linkState(const node_name& peer) const;
 
--- a/test/knapweedcroft/gateway/gateway_core.cpp
+++ b/test/knapweedcroft/gateway/gateway_core.cpp
@@ -320,6 +320,63 @@
     EXPECT_EQ(statusOf(m_group.answers("c").back()), 503);
 }
 
+// Guards against requests that a stopping process leaves without an answer, or whose upstream goes on working for
+// nobody.
+TEST_F(gateway_core_test, AnswersTheRequestsThatItGivesUp)
+{
+    sendViaC("book");
+    const std::string node = target();
+    m_group.handle("c", stop_requested { milliseconds { 5000 } });
+    m_group.handle("c", requests_given_up {});
+    EXPECT_TRUE(m_group.answers("c").empty());
+    m_group.handle("c", requests_given_up { { 1, 99 } });
+    ASSERT_EQ(m_group.answers("c").size(), 1U);
+    EXPECT_EQ(statusOf(m_group.answers("c").front()), 502);
+    EXPECT_TRUE(m_group.core("c").isIdle());
+    m_group.run(milliseconds { 1 });
+    EXPECT_TRUE(m_group.core(node).isIdle());
+    sendViaC("book");
+    EXPECT_EQ(statusOf(m_group.answers("c").back()), 503);
+    EXPECT_EQ(exchangeCount(), 1U);
+}
+
+// Guards against requests that are answered as if they might have run, although they waited for their upstream.
+TEST(GatewayStop, RefusesWhatWaitsAsNotRun)
+{
+    gateway_group group { makeReadAndBookTable() };
+    group.add("a", "visits", "z1", 1);
+    group.answersAutomatically = false;
+    group.start();
+    for (int count = 0; count < 2; ++count)
+        group.send("a", "book");
+    group.run(milliseconds { 1 });
+    ASSERT_EQ(group.exchanges("a").size(), 1U);
+    group.handle("a", stop_requested { milliseconds { 5000 } });
+    group.handle("a", requests_given_up { { 1, 2 } });
+    ASSERT_EQ(group.answers("a").size(), 2U);
+    EXPECT_EQ(statusOf(group.answers("a").front()), 503);
+    EXPECT_EQ(group.answers("a").front().handle, 2U);
+    EXPECT_EQ(statusOf(group.answers("a").back()), 502);
+    EXPECT_EQ(group.exchanges("a").size(), 1U);
+}
+
+// Guards against requests of other nodes that wait at a stopping node until it ends, and may then have run.
+TEST_F(gateway_core_test, SendsElsewhereWhatWaitsAtAStoppingNode)
+{
+    constexpr int slots = 4;
+    for (int count = 0; count < 2 * slots + 1; ++count)
+        sendViaC("book");
+    ASSERT_EQ(exchangeCount(), 2U * slots);
+    const std::string stopping = m_group.core("a").describe()["upstream"]["queued"].get<int>() == 1 ? "a" : "b";
+    ASSERT_EQ(m_group.core(stopping).describe()["upstream"]["queued"].get<int>(), 1);
+    m_group.handle(stopping, stop_requested { milliseconds { 5000 } });
+    m_group.handle(stopping, requests_given_up {});
+    m_group.run(milliseconds { 1 });
+    EXPECT_EQ(m_group.core(stopping).describe()["upstream"]["queued"].get<int>(), 0);
+    EXPECT_EQ(m_group.core(other(stopping)).describe()["upstream"]["queued"].get<int>(), 1);
+    EXPECT_TRUE(m_group.answers("c").empty());
+}
+
 // An older catalogue must not replace a newer one, whether it comes from the store or from a peer.
 TEST_F(gateway_core_test, IgnoresAnOlderCatalogue)
 {
--- a/test/knapweedcroft/http/pipelined_server.cpp
+++ b/test/knapweedcroft/http/pipelined_server.cpp
@@ -171,6 +171,26 @@
     EXPECT_EQ(m_requestIds.size(), 3U);
 }
 
+// Guards against answers that are dropped at the end of a stop, since they are ready behind an unanswered request
+// (LOST).
+TEST_F(pipelined_server_test, TellsWhichRequestsHoldBackAnswers)
+{
+    raw_client client { m_loop, m_address };
+    raw_client single { m_loop, m_address };
+    client.send(get("/1") + get("/2") + get("/3") + get("/4"));
+    single.send(get("/5"));
+    ASSERT_TRUE(waitFor([this] { return m_requestIds.size() == 5; }));
+    EXPECT_TRUE(m_server->blockingRequests().empty());
+    answer("/3");
+    const std::vector<std::uint64_t> blocking { m_requestIds.at("/1"), m_requestIds.at("/2") };
+    EXPECT_EQ(m_server->blockingRequests(), blocking);
+    EXPECT_EQ(m_server->pendingRequests().size(), 4U) << "all but the one that is answered";
+    answer("/1");
+    answer("/2");
+    EXPECT_TRUE(m_server->blockingRequests().empty());
+    ASSERT_TRUE(waitFor([&client] { return client.received().find("answer to /3") != std::string::npos; }));
+}
+
 TEST_F(pipelined_server_test, LeavesOutTheBodyOfAnAnswerToHead)
 {
     raw_client client { m_loop, m_address };
--- a/test/platform/gateway_process.cpp
+++ b/test/platform/gateway_process.cpp
@@ -91,13 +91,14 @@
     return false;
 }
 
-std::string makeLookConfiguration(const std::string& service, bool isIdempotent, std::size_t maxBodyBytes)
+std::string makeLookConfiguration(
+    const std::string& service, bool isIdempotent, std::size_t maxBodyBytes, const std::string& timeout)
 {
     const nlohmann::json document = { { "Version", "00000001" },
         { "Routes",
             { { { "Name", "look" }, { "Host", "farm.example" }, { "PathPrefix", "/look/" }, { "Service", service },
-                { "Kind", isIdempotent ? "safe" : "unsafe" }, { "MaxAttempts", 1 }, { "Timeout", "4s" },
-                { "TargetLatency", "4s" }, { "Priority", 1 } } } },
+                { "Kind", isIdempotent ? "safe" : "unsafe" }, { "MaxAttempts", 1 }, { "Timeout", timeout },
+                { "TargetLatency", timeout }, { "Priority", 1 } } } },
         { "Services", nlohmann::json::array() },
         { "Limits",
             { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", maxBodyBytes }, { "HeaderTimeout", "5s" },
--- a/test/platform/gateway_process.hpp
+++ b/test/platform/gateway_process.hpp
@@ -66,7 +66,7 @@
 
 /** @brief Returns a configuration whose only route leads from `/look/` of the host `farm.example` to a service. */
 [[nodiscard]] std::string makeLookConfiguration(
-    const std::string& service, bool isIdempotent, std::size_t maxBodyBytes);
+    const std::string& service, bool isIdempotent, std::size_t maxBodyBytes, const std::string& timeout = "4s");
 
 } // namespace knapweedcroft::platform
 
--- a/test/platform/planned_stops.cpp
+++ b/test/platform/planned_stops.cpp
@@ -2,6 +2,7 @@
 
 #include "knapweedcroft/http/exchange_client.hpp"
 #include "knapweedcroft/http/pipelined_server.hpp"
+#include "knapweedcroft/http/raw_client.hpp"
 #include "knapweedcroft/net/test_servers.hpp"
 
 #include <gtest/gtest.h>
@@ -96,8 +97,102 @@
     bool m_isSending = true;
 };
 
+// Upstream that never answers requests whose path ends in `-1`, and answers others with their identifier.
+class unanswering_upstream {
+public:
+    explicit unanswering_upstream(event_loop& loop)
+        : m_server { loop, pipelined_server_limits {},
+            { [this](std::uint64_t number, const opaque_request& request) { work(number, request); },
+                [](std::uint64_t) {},
+                [](const parse_error& fault) {
+                    return opaque_response { fault.status, {}, {} };
+                } } }
+        , m_address { valueOf(m_server.listen("127.0.0.1", 0)) }
+    {
+    }
+
+    [[nodiscard]] const std::string& address() const { return m_address; }
+    [[nodiscard]] std::size_t requestCount() const { return m_requestCount; }
+
+private:
+    void work(std::uint64_t number, const opaque_request& request)
+    {
+        ++m_requestCount;
+        const std::string id = findHeader(request.headers, "X-Request-Id").value_or("");
+        if (id.substr(id.size() - 2) != "-1")
+            m_server.answer(number, { okStatus, { { "X-Request-Id", id }, { "X-Response-Signature", "s" } }, id });
+    }
+
+    std::size_t m_requestCount = 0;
+    pipelined_server m_server;
+    std::string m_address;
+};
+
+struct stop_case {
+    const char* name;
+    const char* service; // Of the stopping node; its requests are for the service `shop`.
+};
+
+[[nodiscard]] std::string nameOf(const testing::TestParamInfo<stop_case>& info) { return info.param.name; }
+
+// A stopping process whose clients send several requests one behind the other.
+class pipelined_stops_test : public testing::TestWithParam<stop_case> {
+protected:
+    void startAll()
+    {
+        m_store.append("keyed.op", { "config", makeLookConfiguration("shop", true, 1048576, "20s") });
+        for (gateway_process* node : { &m_stopping, &m_other })
+            ASSERT_TRUE(node->waitUntil([node] { return node->isReady(); }));
+        gateway_process& beside = isOwnUpstream() ? m_stopping : m_other;
+        ASSERT_TRUE(beside.waitUntil([&beside] { return beside.announceUpstream("i-1", 1); }));
+        ASSERT_TRUE(m_stopping.waitUntil([this] { return m_stopping.metric("knapweed_linked_nodes") >= 2; }));
+    }
+
+    [[nodiscard]] static bool isOwnUpstream() { return std::string { GetParam().service } == "shop"; }
+
+    [[nodiscard]] static std::string request(const std::string& id)
+    {
+        return "GET /look/" + id + " HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: " + id
+            + "\r\nX-Deadline-Ms: 20000\r\n\r\n";
+    }
+
+    event_loop m_loop;
+    fake_store m_store { m_loop };
+    unanswering_upstream m_upstream { m_loop };
+    gateway_process m_stopping { m_loop, m_store,
+        { "n1", loopbackNetwork() + "238", GetParam().service, isOwnUpstream() ? m_upstream.address() : "127.0.0.1:9",
+            64 } };
+    gateway_process m_other { m_loop, m_store,
+        { "n2", loopbackNetwork() + "239", isOwnUpstream() ? "front" : "shop",
+            isOwnUpstream() ? "127.0.0.1:9" : m_upstream.address(), 64 } };
+};
+
 } // namespace
 
+// Guards against answers that are ready when a process stops and never reach their client, since the request in front
+// of them on the connection is unanswered (LOST). That one gets an answer as well.
+TEST_P(pipelined_stops_test, DeliverTheAnswersThatAreReady)
+{
+    startAll();
+    raw_client pair { m_loop, m_stopping.clientAddress() };
+    raw_client single { m_loop, m_stopping.clientAddress() };
+    m_stopping.process().signal(SIGTERM);
+    pair.send(request("a-1") + request("b-2") + request("c-1") + request("d-2"));
+    single.send(request("e-1"));
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_upstream.requestCount() == 5; }, milliseconds { 2000 }));
+    EXPECT_TRUE(m_loop.runUntil([this] { return m_stopping.process().hasEnded(); }, milliseconds { 10'000 }));
+    ASSERT_TRUE(m_loop.runUntil([&] { return pair.isClosed() && single.isClosed(); }, milliseconds { 2000 }));
+    EXPECT_EQ(m_stopping.process().exitStatus(), 0);
+    const std::string& received = pair.received();
+    EXPECT_EQ(received.find("HTTP/1.1 502"), 0U) << received;
+    EXPECT_NE(received.find("\r\n\r\nb-2"), std::string::npos) << received;
+    EXPECT_NE(received.find("\r\n\r\nd-2"), std::string::npos) << received;
+    EXPECT_EQ(single.received().find("HTTP/1.1 502"), 0U) << single.received();
+}
+
+INSTANTIATE_TEST_SUITE_P(Upstreams, pipelined_stops_test,
+    testing::Values(stop_case { "OwnUpstream", "shop" }, stop_case { "UpstreamOfAPeer", "front" }), nameOf);
+
 // Guards against requests that are taken late in the grace period of a planned stop, passed on and cut at its end,
 // among them such as may not be repeated (LOST). Clients of the stopping node use it until it closes their connections.
 TEST_F(planned_stops_test, LoseNothingThatAnUpstreamRuns)
