Keep memory for responses that requests cannot take

Cause: a wait in a circle. Large responses of the upstream are paused while the server of the clients holds a quarter of the memory, and it holds the bodies of requests until their responses have come.

Change: responses are counted apart and have an eighth of the memory to themselves. Beyond that they are paused as before.

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -141,10 +141,12 @@
 }
 
 // Clients may read slowly, and what they have not read is held here. So large responses of the upstream wait at the
-// upstream while a quarter of the memory is held.
+// upstream while a quarter of the memory is held. Half of that is kept for responses: only they free the memory of
+// their requests, so they must not wait for it.
 void gateway_runtime::limitResponses()
 {
-    m_upstream.setPaused(m_server.bufferedBytes() > m_settings.memoryMiB * internal::bytesPerMiB / 4);
+    const std::size_t limit = m_settings.memoryMiB * internal::bytesPerMiB / 4;
+    m_upstream.setPaused(m_server.responseBytes() > limit / 2 && m_server.bufferedBytes() > limit);
 }
 
 void gateway_runtime::scheduleWakeup()
@@ -350,7 +352,7 @@
 {
     nlohmann::json values = m_core.describe();
     values["client"] = { { "connections", m_server.connectionCount() }, { "pending", m_server.pendingCount() },
-        { "held_bytes", m_server.bufferedBytes() } };
+        { "held_bytes", m_server.bufferedBytes() }, { "held_response_bytes", m_server.responseBytes() } };
     values["exchanges"] = { { "connections_opened", m_upstream.counters().openedConnections },
         { "foreign_responses", m_upstream.counters().mismatchedResponses },
         { "surplus_bytes", m_upstream.counters().unsolicitedData },
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -38,7 +38,11 @@
     }
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
-    ~connection() { m_server.m_bufferedBytes -= m_bufferedBytes; }
+    ~connection()
+    {
+        m_server.m_bufferedBytes -= m_bufferedBytes;
+        m_server.m_responseBytes -= m_responseBytes;
+    }
 
     void answer(std::uint64_t requestId, opaque_response response, bool shouldClose)
     {
@@ -49,6 +53,8 @@
             entry.response = std::move(response);
             entry.responseBytes = entry.response.body.size();
             addBufferedBytes(entry.responseBytes);
+            m_responseBytes += entry.responseBytes;
+            m_server.m_responseBytes += entry.responseBytes;
             entry.isAnswered = true;
             break;
         }
@@ -342,8 +348,11 @@
         if (evbuffer_get_length(bufferevent_get_output(stream)) > 0)
             return;
         bufferevent_disable(stream, EV_WRITE);
-        for (const std::size_t bytes : self.m_unflushedSizes)
+        for (const std::size_t bytes : self.m_unflushedSizes) {
             self.subtractBufferedBytes(bytes);
+            self.m_responseBytes -= bytes;
+            self.m_server.m_responseBytes -= bytes;
+        }
         self.m_unflushedSizes.clear();
         if (self.m_hasWrittenLast)
             self.startLingeringClose();
@@ -364,6 +373,7 @@
     std::deque<pipelined_request> m_pipeline;
     std::vector<std::size_t> m_unflushedSizes;
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_responseBytes = 0; /*!< Part of it. */
     std::size_t m_unsentAtTimerStart = 0; /*!< Unsent bytes of responses when the idle timer was started. */
     std::size_t m_reservedBytes = 0; /*!< Part of it, for the request that is being read. */
     bool m_isReading = false;
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -107,6 +107,9 @@
     /** @brief Returns the bytes of requests and responses that are buffered. */
     [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_bufferedBytes; }
 
+    /** @brief Returns the part of `bufferedBytes` that responses take, which only their clients can free. */
+    [[nodiscard]] std::size_t responseBytes() const noexcept { return m_responseBytes; }
+
 private:
     class connection;
     friend class connection;
@@ -123,6 +126,7 @@
     tcp_listener m_listener;
     std::uint64_t m_lastRequestId = 0;
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_responseBytes = 0;
     bool m_isDraining = false;
 };
 
--- a/test/platform/large_requests.cpp
+++ b/test/platform/large_requests.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace knapweedcroft::platform {
 
@@ -59,8 +61,20 @@
     void answer(std::uint64_t number, const opaque_request& request)
     {
         m_receivedBytes += request.body.size();
-        const std::string id = findHeader(request.headers, "X-Request-Id").value_or("");
-        m_upstream.answer(number, { okStatus, { { "X-Request-Id", id }, { "X-Response-Signature", "s" } }, "" });
+        m_received.emplace_back(number, findHeader(request.headers, "X-Request-Id").value_or(""));
+        if (m_received.size() < m_answeredTogether)
+            return;
+        if (m_answerDelay == milliseconds {})
+            answerReceived();
+        else
+            m_answerTimer.start(m_answerDelay);
+    }
+
+    void answerReceived()
+    {
+        for (const std::pair<std::uint64_t, std::string>& item : std::exchange(m_received, {}))
+            m_upstream.answer(item.first,
+                { okStatus, { { "X-Request-Id", item.second }, { "X-Response-Signature", "s" } }, m_answerBody });
     }
 
     event_loop m_loop;
@@ -76,6 +90,11 @@
     exchange_client m_clients { m_loop, exchange_client_settings {} };
     std::string m_upstreamAddress;
     std::unique_ptr<gateway_process> m_node;
+    std::string m_answerBody;
+    milliseconds m_answerDelay;
+    loop_timer m_answerTimer { m_loop, [this] { answerReceived(); } };
+    std::size_t m_answeredTogether = 1; // Requests that must have arrived before they are answered.
+    std::vector<std::pair<std::uint64_t, std::string>> m_received;
     std::size_t m_receivedBytes = 0;
     std::size_t m_maxResidentBytes = 0;
     std::uint64_t m_lastRequest = 0;
@@ -94,6 +113,21 @@
     EXPECT_LT(m_maxResidentBytes, memoryMiB * bytesPerMiB);
 }
 
+// Guards against requests that pause the responses which alone can free their memory, until all of them end with the
+// timeout, or without an answer when the process stops (LOST).
+TEST_F(large_requests_test, DoNotPauseTheirOwnResponses)
+{
+    constexpr std::size_t count = 3;
+    m_answeredTogether = count;
+    m_answerDelay = milliseconds { 300 };
+    m_answerBody.assign(bytesPerMiB, 'a');
+    ASSERT_TRUE(m_node->waitUntil([this] { return m_node->isReady(); }));
+    ASSERT_TRUE(m_node->announceUpstream("i-1", 1));
+    for (int round = 0; round < 3; ++round)
+        EXPECT_EQ(send(count, 4 * bytesPerMiB), (std::map<int, std::size_t> { { okStatus, count } })) << round;
+    EXPECT_LT(m_maxResidentBytes, memoryMiB * bytesPerMiB);
+}
+
 // Guards against the same by many requests at once; those without room are refused as not run.
 TEST_F(large_requests_test, AreRefusedWithoutRoom)
 {
