Let large messages wait for their turn on a link

Cause: whole answers went to the link at once, whatever waited there, and a link whose output buffer exceeds 64 MiB is taken for one whose peer does not read.

Change: requests and answers above 64 KiB wait in the hub until less than 256 KiB is unwritten on their link; small messages pass them. Answers that wait count as held, so the upstream is left unread meanwhile. A call that is cancelled leaves the queue; a request that waits counts as not written.

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -140,13 +140,15 @@
     scheduleWakeup();
 }
 
-// Clients may read slowly, and what they have not read is held here. So large responses of the upstream wait at the
-// upstream while a quarter of the memory is held. Half of that is kept for responses: only they free the memory of
-// their requests, so they must not wait for it.
+// Clients and links may read slowly, and what they have not read is held here. So large responses of the upstream wait
+// at the upstream while a quarter of the memory is held. Half of that is kept for responses: only they free the memory
+// of their requests, so they must not wait for it.
 void gateway_runtime::limitResponses()
 {
     const std::size_t limit = m_settings.memoryMiB * internal::bytesPerMiB / 4;
-    m_upstream.setPaused(m_server.responseBytes() > limit / 2 && m_server.bufferedBytes() > limit);
+    const std::size_t waitingBytes = m_hub.waitingAnswerBytes();
+    m_upstream.setPaused(
+        m_server.responseBytes() + waitingBytes > limit / 2 && m_server.bufferedBytes() + waitingBytes > limit);
 }
 
 void gateway_runtime::scheduleWakeup()
@@ -289,7 +291,12 @@
     m_server.setLimits(limits);
 }
 
-void gateway_runtime::perform(send_to_peer& action) { m_hub.send(action); }
+void gateway_runtime::perform(send_to_peer& action)
+{
+    m_hub.send(action);
+    if (std::holds_alternative<forward_answer>(action.message))
+        limitResponses();
+}
 
 void gateway_runtime::perform(open_link& action) { m_hub.open(action); }
 
@@ -365,6 +372,7 @@
     values["sent_to_peers"] = std::move(sent);
     const link_fault_counts& faults = m_hub.faults();
     values["links"] = { { "ended", faults.endedLinks }, { "ended_calls", faults.endedCalls },
+        { "waiting_answer_bytes", m_hub.waitingAnswerBytes() }, { "unwritten_bytes", m_hub.unwrittenBytes() },
         { "unwritten_calls", faults.unwrittenCalls }, { "unreadable_messages", faults.unreadableMessages },
         { "untransferable_messages", faults.untransferableMessages } };
     values.update(m_metrics.describe());
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -11,6 +11,20 @@
 namespace internal {
 
 static constexpr int listenBacklog = 256;
+// Larger requests and answers wait for their turn on a link.
+static constexpr std::size_t largeFrameBytes = std::size_t { 64 } * 1024;
+// A large frame is handed to its link while less than this is unwritten there.
+static constexpr std::size_t linkWindowBytes = std::size_t { 256 } * 1024;
+
+// Returns what a message carries if it may wait, so that other messages pass it.
+[[nodiscard]] static std::optional<large_frame_kind> largeFrameKind(const peer_message& message)
+{
+    if (std::holds_alternative<forward_request>(message))
+        return large_frame_kind::request;
+    if (std::holds_alternative<forward_answer>(message))
+        return large_frame_kind::answer;
+    return std::nullopt;
+}
 
 } // namespace internal
 
@@ -53,7 +67,15 @@
 {
     std::size_t bytes = 0;
     for (const std::pair<const std::uint64_t, std::unique_ptr<link_record>>& item : m_links)
-        bytes += item.second->link->unwrittenBytes();
+        bytes += item.second->link->unwrittenBytes() + item.second->waiting.bytes();
+    return bytes;
+}
+
+std::size_t peer_hub::waitingAnswerBytes() const
+{
+    std::size_t bytes = 0;
+    for (const std::pair<const std::uint64_t, std::unique_ptr<link_record>>& item : m_links)
+        bytes += item.second->waiting.answerBytes();
     return bytes;
 }
 
@@ -87,6 +109,10 @@
     handlers.opened = [this, id] { onOpened(id); };
     handlers.received = [this, id](std::string_view frame) { onFrame(id, frame); };
     handlers.closed = [this, id](const link_end& end) { onClosed(id, end); };
+    handlers.written = [this, id] {
+        if (link_record* record = find(id))
+            sendWaiting(*record);
+    };
     return handlers;
 }
 
@@ -324,6 +350,8 @@
     }
     if (const std::optional<call_id> answered = answeredCall(message))
         findOrAddPeer(record.hello->node).pendingCalls.erase(*answered);
+    if (const cancel_message* cancel = std::get_if<cancel_message>(&message))
+        record.waiting.erase(large_frame_kind::answer, cancel->id);
     m_handlers.deliver(message_received { record.hello->node, std::move(message) });
 }
 
@@ -375,9 +403,13 @@
         closeActiveLink(*active, "no response to pings, and the replacement link could not be opened");
     } else if (isLossy && active != nullptr && record->hasCarriedMessages) {
         // The link may have carried pending calls or their answers, and it is unknown which.
-        calls_lost event { name, {}, record->link->unwrittenCalls() };
+        calls_lost event { name, {}, unwrittenCalls(*record) };
+        // Those that wait for their turn on the active link have been on no link yet.
+        const std::vector<call_id> waiting = active->waiting.requestedCalls();
+        for (const call_id call : waiting)
+            peer.pendingCalls.erase(call);
         event.lost.assign(peer.pendingCalls.begin(), peer.pendingCalls.end());
-        peer.pendingCalls.clear();
+        peer.pendingCalls = { waiting.begin(), waiting.end() };
         m_handlers.deliver(std::move(event));
     }
     removeLink(id);
@@ -474,7 +506,8 @@
 {
     const node_name name = old.hello->node;
     peer_record& peer = findOrAddPeer(name);
-    const std::vector<call_id> unwritten = old.link->unwrittenCalls();
+    const std::vector<call_id> unwritten = unwrittenCalls(old);
+    old.waiting.clear();
     old.phase = link_phase::retiring;
     peer.activeLink = 0;
     peer.state.fire(peer_link_event::closed);
@@ -519,7 +552,9 @@
     added.hasCarriedMessages = true;
     peer.activeLink = added.id;
     peer.state.fire(peer_link_event::opened);
+    added.waiting.append(existing.waiting);
     retire(existing);
+    sendWaiting(added);
 }
 
 // --- sending
@@ -535,8 +570,10 @@
     }
     if (call)
         findOrAddPeer(action.peer).pendingCalls.insert(*call);
-    else if (const cancel_message* cancel = std::get_if<cancel_message>(&action.message))
+    if (const cancel_message* cancel = std::get_if<cancel_message>(&action.message)) {
         findOrAddPeer(action.peer).pendingCalls.erase(cancel->id);
+        record->waiting.erase(large_frame_kind::request, cancel->id);
+    }
     record->isReplyExpected = true;
     const std::vector<peer_message> parts = splitReport(action.message);
     for (const peer_message& part : parts)
@@ -547,17 +584,40 @@
 
 void peer_hub::sendMessage(link_record& record, const peer_message& message, std::optional<call_id> call)
 {
-    const result<std::string> encoded = encode(message);
+    result<std::string> encoded = encode(message);
     if (!hasValue(encoded)) {
         onUntransferable(record, message, errorOf(encoded));
         return;
     }
-    const std::string& frame = valueOf(encoded);
+    std::string frame = valueOf(std::move(encoded));
     sent_message_counts& counts = m_sentByKind[kindOf(message)];
     ++counts.messages;
     counts.bytes += frame.size();
     counts.remoteBytes += record.hello && record.hello->data_centre != m_dataCentre ? frame.size() : 0U;
-    record.link->send(frame, call);
+    const std::optional<large_frame_kind> kind = internal::largeFrameKind(message);
+    if (!kind || frame.size() <= internal::largeFrameBytes) {
+        record.link->send(frame, call);
+        return;
+    }
+    record.waiting.push(large_frame { *kind, *subjectOf(message).call, std::move(frame) });
+    sendWaiting(record);
+}
+
+void peer_hub::sendWaiting(link_record& record)
+{
+    while (!record.waiting.empty() && record.link->unwrittenBytes() < internal::linkWindowBytes) {
+        const large_frame frame = *record.waiting.pop();
+        const bool isRequest = frame.kind == large_frame_kind::request;
+        record.link->send(frame.bytes, isRequest ? std::optional<call_id> { frame.call } : std::nullopt);
+    }
+}
+
+std::vector<call_id> peer_hub::unwrittenCalls(const link_record& record)
+{
+    std::vector<call_id> calls = record.link->unwrittenCalls();
+    const std::vector<call_id> waiting = record.waiting.requestedCalls();
+    calls.insert(calls.end(), waiting.begin(), waiting.end());
+    return calls;
 }
 
 void peer_hub::onUntransferable(link_record& record, const peer_message& message, const error& reason)
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -5,6 +5,7 @@
 #include "knapweedcroft/core/error.hpp"
 #include "knapweedcroft/core/time.hpp"
 #include "knapweedcroft/net/event_loop.hpp"
+#include "knapweedcroft/net/large_frame_queue.hpp"
 #include "knapweedcroft/net/peer_link.hpp"
 #include "knapweedcroft/net/tcp_listener.hpp"
 #include "knapweedcroft/node/actions.hpp"
@@ -64,6 +65,9 @@
  * The state chart `peer_link` defines the states of the link to a peer. An open link is pinged while a reply is
  * expected on it; the hub answers pings itself. If both sides open a link at the same time, both use the one opened by
  * the node whose name sorts first.
+ *
+ * A large request or answer waits until its link has written most of what is before it, and small messages pass it. So
+ * the output buffer of a link stays small, whatever the owner sends.
  */
 class peer_hub {
 public:
@@ -125,6 +129,9 @@
     /** @brief Returns the bytes that have been sent and not yet written to the sockets of all links. */
     [[nodiscard]] std::size_t unwrittenBytes() const;
 
+    /** @brief Returns the bytes of the large answers that wait for their turn on all links. */
+    [[nodiscard]] std::size_t waitingAnswerBytes() const;
+
     /** @brief Returns the state of the link to a peer; `closed` for an unknown peer. */
     [[nodiscard]] peer_link_state linkState(const node_name& peer) const;
 
@@ -162,6 +169,7 @@
         std::uint32_t unansweredPings = 0;
         bool isDetached = false; /*!< Existed at the last `reset`; its events are ignored. */
         bool hasCarriedMessages = false; /*!< It has been active here, or the peer has used it. */
+        large_frame_queue waiting;
         bool isReplyExpected = false; /*!< A message was sent after the last one received. */
     };
 
@@ -210,6 +218,8 @@
     void onGracePeriodExpired(const node_name& name);
     void startReplacement(const node_name& name);
     void sendMessage(link_record& record, const peer_message& message, std::optional<call_id> call);
+    void sendWaiting(link_record& record);
+    [[nodiscard]] static std::vector<call_id> unwrittenCalls(const link_record& record);
     void onUntransferable(link_record& record, const peer_message& message, const error& reason);
     void deliverLater(const node_name& peer, peer_message message);
     void reportUnwritten(const node_name& peer, call_id call);
--- a/src/knapweedcroft/net/peer_link.cpp
+++ b/src/knapweedcroft/net/peer_link.cpp
@@ -237,8 +237,16 @@
             return;
         if (!internal::writeNow(m_bufferEvent.get()))
             bufferevent_enable(m_bufferEvent.get(), EV_WRITE);
-        else if (m_shouldCloseAfterWrite)
+        else
+            onAllWritten();
+    }
+
+    void onAllWritten()
+    {
+        if (m_shouldCloseAfterWrite)
             end("closed");
+        else if (m_handlers.written)
+            m_handlers.written();
     }
 
     void closeAfterWrite()
@@ -297,8 +305,8 @@
         if (self.unwrittenBytes() > 0)
             return;
         bufferevent_disable(self.m_bufferEvent.get(), EV_WRITE);
-        if (self.m_shouldCloseAfterWrite)
-            self.end("closed");
+        if (!self.m_isEnded)
+            self.onAllWritten();
     }
 
     static void onEvent(bufferevent*, short what, void* argument)
--- a/src/knapweedcroft/net/peer_link.hpp
+++ b/src/knapweedcroft/net/peer_link.hpp
@@ -35,6 +35,7 @@
     std::function<void()> opened; /*!< The handshake is complete, and frames may be sent. */
     std::function<void(std::string_view)> received; /*!< Called for each received frame. */
     std::function<void(const link_end&)> closed; /*!< Called once, as the last callback. */
+    std::function<void()> written {}; /*!< All that was sent has been written to the socket; may be empty. */
 };
 
 /**
@@ -49,7 +50,7 @@
      * @param loop Must outlive the link.
      * @param address `host:port` of the peer.
      * @param purpose Sent to the peer in the handshake.
-     * @param handlers Callbacks; all must be set.
+     * @param handlers Callbacks; all must be set but `written`.
      * @return The link, or an error of kind `invalid_value` or `connection_failed`.
      */
     [[nodiscard]] static result<std::unique_ptr<peer_link>> connect(
@@ -59,7 +60,7 @@
      * @brief Creates a link on an accepted connection.
      * @param loop Must outlive the link.
      * @param socket Owned by the link; closed also on failure.
-     * @param handlers Callbacks; all must be set.
+     * @param handlers Callbacks; all must be set but `written`.
      * @return The link, or an error of kind `connection_failed`.
      */
     [[nodiscard]] static result<std::unique_ptr<peer_link>> accept(
--- a/test/knapweedcroft/net/peer_hub.cpp
+++ b/test/knapweedcroft/net/peer_hub.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace knapweedcroft {
 
 class peer_hub_test : public testing::Test {
@@ -309,6 +311,67 @@
     EXPECT_EQ(m_b.count<link_closed>(), 0U);
 }
 
+[[nodiscard]] static forward_answer largeAnswer(std::uint64_t id)
+{
+    forward_answer answer;
+    answer.id = call_id { id };
+    answer.outcome = opaque_response { 200, {}, std::string(std::size_t { 1024 } * 1024, 'x') };
+    return answer;
+}
+
+[[nodiscard]] static forward_request largeRequest(std::uint64_t id)
+{
+    forward_request request;
+    request.id = call_id { id };
+    request.request.body.assign(std::size_t { 1024 } * 1024, 'x');
+    return request;
+}
+
+// Guards against a link that ends, with all calls on it, because of the large answers that its own node has put on it
+// (LOST), and against short messages that wait behind them.
+TEST_F(peer_hub_test, KeepsALinkWhateverItsNodeSends)
+{
+    constexpr std::uint64_t count = 80; // Beyond the limit of the output buffer of a link.
+    linkUp();
+    for (std::uint64_t id = 1; id <= count; ++id)
+        m_a.hub().send(send_to_peer { "a2", largeAnswer(id) });
+    m_a.hub().send(send_to_peer { "a2", callWithId(7) });
+    EXPECT_GT(m_a.hub().waitingAnswerBytes(), (count - 2) * 1024 * 1024);
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_b.count<message_received>() == count + 1; }, testTimeout));
+    EXPECT_EQ(m_a.count<link_closed>() + m_b.count<link_closed>(), 0U);
+    EXPECT_EQ(m_a.hub().unwrittenBytes(), 0U);
+    std::vector<std::uint64_t> answers;
+    std::size_t answersBeforeCall = 0;
+    for (const node_event& event : m_b.events()) {
+        const message_received* received = std::get_if<message_received>(&event);
+        if (received == nullptr)
+            continue;
+        if (const forward_answer* answer = std::get_if<forward_answer>(&received->message))
+            answers.push_back(answer->id.value());
+        else
+            answersBeforeCall = answers.size();
+    }
+    EXPECT_LE(answersBeforeCall, 1U);
+    EXPECT_TRUE(std::is_sorted(answers.begin(), answers.end()));
+}
+
+// Guards against a request that is sent after it has been cancelled, since the cancellation passes it.
+TEST_F(peer_hub_test, SendsNoRequestThatWasCancelledWhileItWaited)
+{
+    linkUp();
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        m_a.hub().send(send_to_peer { "a2", largeRequest(id) });
+    m_a.hub().send(send_to_peer { "a2", cancel_message { call_id { 3 } } });
+    m_a.hub().send(send_to_peer { "a2", largeRequest(4) });
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_b.count<message_received>() == 4; }, testTimeout));
+    for (const node_event& event : m_b.events()) {
+        if (const message_received* received = std::get_if<message_received>(&event)) {
+            const forward_request* request = std::get_if<forward_request>(&received->message);
+            EXPECT_FALSE(request != nullptr && request->id == call_id { 3 });
+        }
+    }
+}
+
 class peer_fault_test : public testing::Test {
 protected:
     void linkUp()
@@ -374,4 +437,22 @@
         EXPECT_EQ(std::count(unwritten.begin(), unwritten.end(), id), 0) << id.value();
 }
 
+// Guards against large requests that count as sent although they still wait, so that they are not sent elsewhere.
+TEST_F(peer_fault_test, ReportsTheRequestsThatWaitWhenALinkFails)
+{
+    constexpr std::uint64_t calls = 40; // Together larger than the socket buffers.
+    linkUp();
+    m_relay.stopReading();
+    for (std::uint64_t id = 1; id <= calls; ++id)
+        m_a.hub().send(send_to_peer { "a2", largeRequest(id) });
+    m_loop.runUntil([] { return false; }, milliseconds { 50 });
+    m_relay.closeConnections();
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_a.count<link_closed>() == 1; }, testTimeout));
+    const std::vector<call_id> unwritten = m_a.last<link_closed>().unwritten;
+    ASSERT_GT(unwritten.size(), calls / 2);
+    EXPECT_EQ(unwritten.back(), call_id { calls });
+    EXPECT_EQ(std::count(unwritten.begin(), unwritten.end(), call_id { 1 }), 0);
+    EXPECT_EQ(m_a.hub().unwrittenBytes(), 0U);
+}
+
 } // namespace knapweedcroft
