Offer large answers to the node of their caller before they are sent

Cause: large requests are offered before they are sent, answers were not. Whatever arrived over links was held until its client had read it.

Change: an answer above 256 KiB waits at the node beside the upstream until the node of its caller grants it (answer_room). A node says in its hello that it grants answers, so nodes of earlier versions are sent no offer.

--- a/src/knapweedcroft/gateway/gateway_core.cpp
+++ b/src/knapweedcroft/gateway/gateway_core.cpp
@@ -997,6 +997,7 @@
     hello.data_centre = m_settings.data_centre;
     hello.peerAddress = m_peerAddress;
     hello.catalogueOffset = m_table ? m_table->version() : -1;
+    hello.grantsAnswers = true;
     return hello;
 }
 
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -105,6 +105,7 @@
             [this](const node_name& peer, bool isSuspected) {
                 handle(link_suspected { peer, isSuspected });
             } } }
+    , m_answerRoom { settings.memoryMiB * internal::bytesPerMiB / 4 }
     , m_metricsServer { loop, http_server_settings {} }
     , m_wakeup { loop, [this] { handle(timer_fired {}); } }
     , m_tickTimer { loop, [this] { tick(); } }
@@ -151,6 +152,23 @@
         m_server.responseBytes() + waitingBytes > limit / 2 && m_server.bufferedBytes() + waitingBytes > limit);
 }
 
+void gateway_runtime::grantAnswers()
+{
+    for (const answer_grant& grant : m_answerRoom.takeGrants(m_server.responseBytes(), m_clock.now()))
+        m_hub.send(send_to_peer { grant.node, forward_answer_grant { grant.call } });
+}
+
+void gateway_runtime::onAnswerOffer(const node_name& peer, const forward_answer_offer& offer)
+{
+    // An answer that is no longer awaited would wait at the peer until the link closes.
+    if (!m_hub.isPending(peer, offer.id)) {
+        m_hub.send(send_to_peer { peer, cancel_message { offer.id } });
+        return;
+    }
+    m_answerRoom.offer(peer, offer.id, offer.bytes, m_clock.now());
+    grantAnswers();
+}
+
 void gateway_runtime::scheduleWakeup()
 {
     if (const std::optional<time_point> next = m_core.nextWakeup())
@@ -180,6 +198,7 @@
     m_lastTick = now;
     m_tickTimer.start(internal::tickInterval);
     limitResponses();
+    grantAnswers();
     if (m_isStopping)
         checkStop();
 }
@@ -192,12 +211,22 @@
             request->deadline = request->deadline - allowance;
             request->target = request->target - allowance;
         }
+        if (const forward_answer_offer* offer = std::get_if<forward_answer_offer>(&received->message)) {
+            onAnswerOffer(received->peer, *offer);
+            return;
+        }
+        if (const forward_answer* answer = std::get_if<forward_answer>(&received->message))
+            m_answerRoom.remove(received->peer, answer->id);
         handle(std::move(*received));
+        grantAnswers();
     } else if (link_opened* opened = std::get_if<link_opened>(&event)) {
         handle(std::move(*opened));
     } else if (link_closed* closed = std::get_if<link_closed>(&event)) {
+        m_answerRoom.remove(closed->peer);
         handle(std::move(*closed));
     } else if (calls_lost* lost = std::get_if<calls_lost>(&event)) {
+        for (const call_id call : lost->lost)
+            m_answerRoom.remove(lost->peer, call);
         handle(std::move(*lost));
     }
 }
@@ -296,6 +325,8 @@
     m_hub.send(action);
     if (std::holds_alternative<forward_answer>(action.message))
         limitResponses();
+    if (const cancel_message* cancel = std::get_if<cancel_message>(&action.message))
+        m_answerRoom.remove(action.peer, cancel->id);
 }
 
 void gateway_runtime::perform(open_link& action) { m_hub.open(action); }
@@ -359,7 +390,8 @@
 {
     nlohmann::json values = m_core.describe();
     values["client"] = { { "connections", m_server.connectionCount() }, { "pending", m_server.pendingCount() },
-        { "held_bytes", m_server.bufferedBytes() }, { "held_response_bytes", m_server.responseBytes() } };
+        { "held_bytes", m_server.bufferedBytes() }, { "held_response_bytes", m_server.responseBytes() },
+        { "granted_answer_bytes", m_answerRoom.grantedBytes() }, { "waiting_answers", m_answerRoom.waitingCount() } };
     values["exchanges"] = { { "connections_opened", m_upstream.counters().openedConnections },
         { "foreign_responses", m_upstream.counters().mismatchedResponses },
         { "surplus_bytes", m_upstream.counters().unsolicitedData },
--- a/src/knapweedcroft/gateway/gateway_runtime.hpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.hpp
@@ -2,6 +2,7 @@
 #define KNAPWEEDCROFT_GATEWAY_GATEWAY_RUNTIME_HPP
 
 #include "knapweedcroft/chart/chart_set.hpp"
+#include "knapweedcroft/gateway/answer_room.hpp"
 #include "knapweedcroft/gateway/gateway_core.hpp"
 #include "knapweedcroft/gateway/stop_schedule.hpp"
 #include "knapweedcroft/http/exchange_client.hpp"
@@ -109,6 +110,8 @@
 
     void scheduleWakeup();
     void limitResponses();
+    void grantAnswers();
+    void onAnswerOffer(const node_name& peer, const forward_answer_offer& offer);
     void tick();
     void checkStop();
     void giveUp(const std::vector<std::uint64_t>& requests);
@@ -127,6 +130,7 @@
     exchange_client m_upstream;
     reachability_check m_upstreamCheck;
     peer_hub m_hub;
+    answer_room m_answerRoom; /*!< For the answers of other nodes. */
     http_server m_metricsServer;
     loop_timer m_wakeup;
     loop_timer m_tickTimer;
--- a/src/knapweedcroft/net/large_frame_queue.cpp
+++ b/src/knapweedcroft/net/large_frame_queue.cpp
@@ -20,14 +20,34 @@
 
 std::optional<large_frame> large_frame_queue::pop()
 {
-    if (m_frames.empty())
+    const auto position
+        = std::find_if(m_frames.begin(), m_frames.end(), [](const large_frame& frame) { return !frame.isOffered; });
+    if (position == m_frames.end())
         return std::nullopt;
-    large_frame frame = std::move(m_frames.front());
-    m_frames.pop_front();
+    large_frame frame = std::move(*position);
+    m_frames.erase(position);
     subtract(frame);
     return frame;
 }
 
+void large_frame_queue::grant(call_id call)
+{
+    for (large_frame& frame : m_frames) {
+        if (frame.kind == large_frame_kind::answer && frame.call == call)
+            frame.isOffered = false;
+    }
+}
+
+std::vector<forward_answer_offer> large_frame_queue::offers() const
+{
+    std::vector<forward_answer_offer> offered;
+    for (const large_frame& frame : m_frames) {
+        if (frame.isOffered)
+            offered.push_back({ frame.call, frame.bytes.size() });
+    }
+    return offered;
+}
+
 void large_frame_queue::erase(large_frame_kind kind, call_id call)
 {
     const auto position = std::find_if(m_frames.begin(), m_frames.end(),
--- a/src/knapweedcroft/net/large_frame_queue.hpp
+++ b/src/knapweedcroft/net/large_frame_queue.hpp
@@ -2,6 +2,7 @@
 #define KNAPWEEDCROFT_NET_LARGE_FRAME_QUEUE_HPP
 
 #include "knapweedcroft/core/ids.hpp"
+#include "knapweedcroft/wire/messages.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -20,6 +21,7 @@
     large_frame_kind kind = large_frame_kind::request;
     call_id call;
     std::string bytes;
+    bool isOffered = false; /*!< Must not be sent before the peer has granted it. */
 };
 
 /**
@@ -32,9 +34,12 @@
     /** @brief Appends a frame. */
     void push(large_frame frame);
 
-    /** @brief Removes and returns the first frame; nothing if there is none. */
+    /** @brief Removes and returns the first frame that may be sent; nothing if there is none. */
     [[nodiscard]] std::optional<large_frame> pop();
 
+    /** @brief Allows to send the answer to a call; ignored if it does not wait here. */
+    void grant(call_id call);
+
     /** @brief Removes the frame of a call, if it waits here. */
     void erase(large_frame_kind kind, call_id call);
 
@@ -45,6 +50,9 @@
 
     [[nodiscard]] bool empty() const noexcept { return m_frames.empty(); }
 
+    /** @brief Returns the answers that the peer has not granted, as they were offered. */
+    [[nodiscard]] std::vector<forward_answer_offer> offers() const;
+
     /** @brief Returns the calls whose requests wait, in their order. */
     [[nodiscard]] std::vector<call_id> requestedCalls() const;
 
--- a/src/knapweedcroft/net/peer_hub.cpp
+++ b/src/knapweedcroft/net/peer_hub.cpp
@@ -13,6 +13,8 @@
 static constexpr int listenBacklog = 256;
 // Larger requests and answers wait for their turn on a link.
 static constexpr std::size_t largeFrameBytes = std::size_t { 64 } * 1024;
+// Larger answers wait until the peer has granted them.
+static constexpr std::size_t maxUnofferedAnswerBytes = std::size_t { 256 } * 1024;
 // A large frame is handed to its link while less than this is unwritten there.
 static constexpr std::size_t linkWindowBytes = std::size_t { 256 } * 1024;
 
@@ -71,6 +73,12 @@
     return bytes;
 }
 
+bool peer_hub::isPending(const node_name& peer, call_id call) const
+{
+    const auto position = m_peers.find(peer);
+    return position != m_peers.end() && position->second.pendingCalls.count(call) != 0;
+}
+
 std::size_t peer_hub::waitingAnswerBytes() const
 {
     std::size_t bytes = 0;
@@ -352,6 +360,11 @@
         findOrAddPeer(record.hello->node).pendingCalls.erase(*answered);
     if (const cancel_message* cancel = std::get_if<cancel_message>(&message))
         record.waiting.erase(large_frame_kind::answer, cancel->id);
+    if (const forward_answer_grant* grant = std::get_if<forward_answer_grant>(&message)) {
+        record.waiting.grant(grant->id);
+        sendWaiting(record);
+        return;
+    }
     m_handlers.deliver(message_received { record.hello->node, std::move(message) });
 }
 
@@ -554,6 +567,9 @@
     peer.state.fire(peer_link_event::opened);
     added.waiting.append(existing.waiting);
     retire(existing);
+    // The peer may have lost the offers on the link that is closed.
+    for (const forward_answer_offer& offer : added.waiting.offers())
+        sendMessage(added, offer, std::nullopt);
     sendWaiting(added);
 }
 
@@ -599,16 +615,23 @@
         record.link->send(frame, call);
         return;
     }
-    record.waiting.push(large_frame { *kind, *subjectOf(message).call, std::move(frame) });
+    const call_id subject = *subjectOf(message).call;
+    const bool isOffered = *kind == large_frame_kind::answer && record.hello && record.hello->grantsAnswers
+        && frame.size() > internal::maxUnofferedAnswerBytes;
+    if (isOffered)
+        sendMessage(record, forward_answer_offer { subject, frame.size() }, std::nullopt);
+    record.waiting.push(large_frame { *kind, subject, std::move(frame), isOffered });
     sendWaiting(record);
 }
 
 void peer_hub::sendWaiting(link_record& record)
 {
-    while (!record.waiting.empty() && record.link->unwrittenBytes() < internal::linkWindowBytes) {
-        const large_frame frame = *record.waiting.pop();
-        const bool isRequest = frame.kind == large_frame_kind::request;
-        record.link->send(frame.bytes, isRequest ? std::optional<call_id> { frame.call } : std::nullopt);
+    while (record.link->unwrittenBytes() < internal::linkWindowBytes) {
+        const std::optional<large_frame> frame = record.waiting.pop();
+        if (!frame)
+            return;
+        const bool isRequest = frame->kind == large_frame_kind::request;
+        record.link->send(frame->bytes, isRequest ? std::optional<call_id> { frame->call } : std::nullopt);
     }
 }
 
--- a/src/knapweedcroft/net/peer_hub.hpp
+++ b/src/knapweedcroft/net/peer_hub.hpp
@@ -67,7 +67,8 @@
  * the node whose name sorts first.
  *
  * A large request or answer waits until its link has written most of what is before it, and small messages pass it. So
- * the output buffer of a link stays small, whatever the owner sends.
+ * the output buffer of a link stays small, whatever the owner sends. A peer that says so in its hello message is
+ * offered large answers, which wait until it grants them.
  */
 class peer_hub {
 public:
@@ -117,6 +118,9 @@
      */
     void send(const send_to_peer& action);
 
+    /** @brief Returns true if a call that was sent to a peer awaits its answer. */
+    [[nodiscard]] bool isPending(const node_name& peer, call_id call) const;
+
     /** @brief Removes all peers and closes all links gracefully, without delivering link_closed. */
     void reset();
 
--- a/src/knapweedcroft/wire/codec.cpp
+++ b/src/knapweedcroft/wire/codec.cpp
@@ -127,15 +127,21 @@
     std::string_view operator()(const quarantine_message&) const { return "quarantine"; }
     std::string_view operator()(const forward_offer&) const { return "fwd_offer"; }
     std::string_view operator()(const forward_grant&) const { return "fwd_grant"; }
+    std::string_view operator()(const forward_answer_offer&) const { return "fwd_ans_offer"; }
+    std::string_view operator()(const forward_answer_grant&) const { return "fwd_ans_grant"; }
 };
 
 struct header_writer {
     wire_json operator()(const hello_message& value) const
     {
-        return { { "k", kind_namer {}(value) }, { "node", value.node }, { "incarnation", value.incarnation.value() },
-            { "service", value.service }, { "data_centre", value.data_centre }, { "peer_address", value.peerAddress },
-            { "view_offset", toWireOffset(value.viewOffset) },
-            { "catalogue_offset", toWireOffset(value.catalogueOffset) } };
+        map_builder header;
+        header.add("k", kind_namer {}(value)).add("node", value.node).add("incarnation", value.incarnation.value());
+        header.add("service", value.service).add("data_centre", value.data_centre);
+        header.add("peer_address", value.peerAddress).add("view_offset", toWireOffset(value.viewOffset));
+        header.add("catalogue_offset", toWireOffset(value.catalogueOffset));
+        if (value.grantsAnswers)
+            header.add("grants_answers", true);
+        return header.take();
     }
 
     wire_json operator()(const call_request& value) const
@@ -269,6 +275,14 @@
     {
         return { { "k", kind_namer {}(value) }, { "id", value.id.value() } };
     }
+    wire_json operator()(const forward_answer_offer& value) const
+    {
+        return { { "k", kind_namer {}(value) }, { "id", value.id.value() }, { "bytes", value.bytes } };
+    }
+    wire_json operator()(const forward_answer_grant& value) const
+    {
+        return { { "k", kind_namer {}(value) }, { "id", value.id.value() } };
+    }
     wire_json operator()(const ping_message& value) const
     {
         return { { "k", kind_namer {}(value) }, { "seq", value.sequence } };
@@ -487,6 +501,7 @@
     message.peerAddress = reader.text("peer_address");
     message.viewOffset = readOffset(reader, "view_offset");
     message.catalogueOffset = readOffset(reader, "catalogue_offset");
+    message.grantsAnswers = reader.has("grants_answers") && reader.boolean("grants_answers");
     if (message.node.empty())
         reader.fail("node", "a name");
     return message;
@@ -733,6 +748,19 @@
     return forward_grant { call_id { reader.unsignedInteger("id") } };
 }
 
+[[nodiscard]] static peer_message readForwardAnswerOffer(field_reader& reader, std::string&&)
+{
+    forward_answer_offer message;
+    message.id = call_id { reader.unsignedInteger("id") };
+    message.bytes = reader.unsignedInteger("bytes");
+    return message;
+}
+
+[[nodiscard]] static peer_message readForwardAnswerGrant(field_reader& reader, std::string&&)
+{
+    return forward_answer_grant { call_id { reader.unsignedInteger("id") } };
+}
+
 [[nodiscard]] static peer_message readCancel(field_reader& reader, std::string&&)
 {
     return cancel_message { call_id { reader.unsignedInteger("id") } };
@@ -848,7 +876,8 @@
     { "entry_callers", &readEntryCallers, false }, { "service_times", &readServiceTimes, false },
     { "reported_notices", &readReportedNotices, false }, { "crash_report", &readCrashReport, false },
     { "quarantine", &readQuarantine, false }, { "fwd_offer", &readForwardOffer, false },
-    { "fwd_grant", &readForwardGrant, false } };
+    { "fwd_grant", &readForwardGrant, false }, { "fwd_ans_offer", &readForwardAnswerOffer, false },
+    { "fwd_ans_grant", &readForwardAnswerGrant, false } };
 
 struct frame_parts {
     wire_json header;
--- a/src/knapweedcroft/wire/limits.cpp
+++ b/src/knapweedcroft/wire/limits.cpp
@@ -95,6 +95,8 @@
     void operator()(const catch_up_request_message&) { }
     void operator()(const store_progress_message&) { }
     void operator()(const forward_grant&) { }
+    void operator()(const forward_answer_offer&) { }
+    void operator()(const forward_answer_grant&) { }
 
 private:
     void check(std::string_view field, std::size_t size, std::size_t limit, std::string_view unit)
--- a/src/knapweedcroft/wire/messages.hpp
+++ b/src/knapweedcroft/wire/messages.hpp
@@ -25,6 +25,7 @@
     std::string peerAddress; /*!< `host:port` on which the sender accepts links. */
     std::int64_t viewOffset = -1; /*!< Next offset of the membership stream that the sender will read. */
     std::int64_t catalogueOffset = -1; /*!< Next offset of the catalogue stream that the sender will read. */
+    bool grantsAnswers = false; /*!< Large answers are offered to the sender, which grants them. */
 };
 
 /** @brief Role of the receiver of a call with regard to its idempotency key. */
@@ -234,6 +235,17 @@
     std::string leavingUpstream {}; /*!< Identifier of the upstream if its answer says that it leaves; else empty. */
 };
 
+/** @brief Asks the node of a caller for room for a large answer. */
+struct forward_answer_offer {
+    call_id id; /*!< Identifier of the `forward_answer` that follows. */
+    std::uint64_t bytes = 0;
+};
+
+/** @brief Allows the receiver to send the answer that it has offered. */
+struct forward_answer_grant {
+    call_id id; /*!< Identifier of the offer. */
+};
+
 /** @brief Announces the sender's upstream to a peer; sent on each new link and on each change. */
 struct upstream_status_message {
     std::string upstream; /*!< Identifier of the upstream; empty if there is none. */
@@ -320,7 +332,7 @@
     heartbeat_message, state_change_message, hand_over_message, hand_over_ack_message, catch_up_request_message,
     catch_up_message, store_progress_message, forward_request, forward_answer, upstream_status_message,
     entry_callers_message, service_times_message, reported_notices_message, crash_report_message, quarantine_message,
-    forward_offer, forward_grant>;
+    forward_offer, forward_grant, forward_answer_offer, forward_answer_grant>;
 
 /**
  * @brief Returns the call that a message requests the receiver to run.
--- a/src/knapweedcroft/wire/substitutes.cpp
+++ b/src/knapweedcroft/wire/substitutes.cpp
@@ -37,7 +37,7 @@
 bool concernsCall(const message_subject& subject)
 {
     return subject.kind == "call" || subject.kind == "answer" || subject.kind == "fwd" || subject.kind == "fwd_ans"
-        || subject.kind == "fwd_offer" || subject.kind == "fwd_grant";
+        || subject.kind == "fwd_offer" || subject.kind == "fwd_grant" || subject.kind == "fwd_ans_offer";
 }
 
 std::optional<peer_message> refuseUntransferred(const message_subject& subject)
@@ -56,7 +56,7 @@
 {
     if (!subject.call)
         return std::nullopt;
-    if (subject.kind == "fwd_ans")
+    if (subject.kind == "fwd_ans" || subject.kind == "fwd_ans_offer")
         return internal::makeForwardAnswer(*subject.call, forward_failure { internal::cause });
     if (subject.kind == "answer")
         return internal::makeCallAnswer(*subject.call, failed_after_start { internal::cause });
--- a/test/knapweedcroft/net/large_frame_queue.cpp
+++ b/test/knapweedcroft/net/large_frame_queue.cpp
@@ -50,6 +50,25 @@
     EXPECT_EQ(queue.pop()->kind, large_frame_kind::request);
 }
 
+// Guards against an answer that is sent before its peer has room for it, and against others that wait behind it.
+TEST(LargeFrameQueue, HoldsAnOfferedAnswerBack)
+{
+    large_frame_queue queue;
+    large_frame offered = answer(1, 10);
+    offered.isOffered = true;
+    queue.push(offered);
+    queue.push(request(1, 20));
+    ASSERT_EQ(queue.offers().size(), 1U);
+    EXPECT_EQ(queue.offers().front().bytes, 10U);
+    EXPECT_EQ(queue.pop()->kind, large_frame_kind::request);
+    EXPECT_FALSE(queue.pop());
+    queue.grant(call_id { 7 });
+    EXPECT_FALSE(queue.pop());
+    queue.grant(call_id { 1 });
+    EXPECT_TRUE(queue.offers().empty());
+    EXPECT_EQ(queue.pop()->kind, large_frame_kind::answer);
+}
+
 TEST(LargeFrameQueue, TakesOverTheFramesOfAnother)
 {
     large_frame_queue first;
--- a/test/knapweedcroft/net/peer_hub.cpp
+++ b/test/knapweedcroft/net/peer_hub.cpp
@@ -135,8 +135,9 @@
 // A peer that writes frames of its own, as one of another version or with a fault does.
 class foreign_peer {
 public:
-    foreign_peer(event_loop& loop, const std::string& address, const std::string& name)
+    foreign_peer(event_loop& loop, const std::string& address, const std::string& name, bool grantsAnswers = false)
         : m_name { name }
+        , m_grantsAnswers { grantsAnswers }
         , m_link { valueOf(peer_link::connect(loop, address, link_purpose::regular, handlers())) }
     {
     }
@@ -164,6 +165,7 @@
             m_isOpen = true;
             hello_message hello;
             hello.node = m_name;
+            hello.grantsAnswers = m_grantsAnswers;
             send(valueOf(encode(hello)));
         };
         receivers.received = [this](std::string_view frame) { m_received.push_back(valueOf(decode(frame))); };
@@ -172,6 +174,7 @@
     }
 
     std::string m_name;
+    bool m_grantsAnswers;
     bool m_isOpen = false;
     std::vector<peer_message> m_received;
     std::unique_ptr<peer_link> m_link;
@@ -372,6 +375,31 @@
     }
 }
 
+// Guards against large answers that arrive at a node without room for them (LOST), or at one that cannot grant them.
+TEST_F(peer_hub_test, SendsALargeAnswerOnceItIsGranted)
+{
+    foreign_peer granting { m_loop, m_a.address(), "b1", true };
+    foreign_peer other { m_loop, m_a.address(), "b2" };
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_a.count<link_opened>() == 2; }, testTimeout));
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        m_a.hub().send(send_to_peer { "b1", largeAnswer(id) });
+    m_a.hub().send(send_to_peer { "b2", largeAnswer(1) });
+    const auto offer = [&granting] { return granting.last<forward_answer_offer>(); };
+    ASSERT_TRUE(m_loop.runUntil(
+        [&] { return offer() != nullptr && offer()->id == call_id { 3 } && other.last<forward_answer>() != nullptr; },
+        testTimeout));
+    EXPECT_GT(offer()->bytes, std::size_t { 1024 } * 1024);
+    EXPECT_EQ(granting.last<forward_answer>(), nullptr);
+    granting.send(valueOf(encode(cancel_message { call_id { 1 } })));
+    granting.send(valueOf(encode(forward_answer_grant { call_id { 1 } })));
+    granting.send(valueOf(encode(forward_answer_grant { call_id { 2 } })));
+    ASSERT_TRUE(m_loop.runUntil([&granting] { return granting.last<forward_answer>() != nullptr; }, testTimeout));
+    EXPECT_EQ(granting.last<forward_answer>()->id, call_id { 2 });
+    const std::size_t waiting = m_a.hub().waitingAnswerBytes();
+    EXPECT_GT(waiting, std::size_t { 1024 } * 1024);
+    EXPECT_LT(waiting, std::size_t { 2 } * 1024 * 1024);
+}
+
 class peer_fault_test : public testing::Test {
 protected:
     void linkUp()
--- a/test/knapweedcroft/wire/codec.cpp
+++ b/test/knapweedcroft/wire/codec.cpp
@@ -105,14 +105,17 @@
 [[nodiscard]] std::vector<named_message> everyMessage()
 {
     return { { "hello",
-                 hello_message { "n1", incarnation_id { 5 }, "quota", "varna-1", "127.0.0.1:1", -1, INT64_MAX / 2 } },
+                 hello_message {
+                     "n1", incarnation_id { 5 }, "quota", "varna-1", "127.0.0.1:1", -1, INT64_MAX / 2, true } },
         { "call", keyedCall() }, { "unkeyed call", call_request {} }, { "answer", fullAnswer() },
         { "refusal", answerWith(refused_not_run { refusal_reason::cancelled, milliseconds { 300 }, "later" }) },
         { "failure", answerWith(failed_after_start { "broken" }) },
         { "unknown outcome", answerWith(outcome_unknown { milliseconds { 5 }, "lost" }) },
         { "cancel", cancel_message { call_id { 3 } } },
         { "forward offer", forward_offer { call_id { 4 }, "visits", 70'000 } },
-        { "forward grant", forward_grant { call_id { 4 } } }, { "ping", ping_message { 1 } },
+        { "forward grant", forward_grant { call_id { 4 } } },
+        { "forward answer offer", forward_answer_offer { call_id { 4 }, 70'000 } },
+        { "forward answer grant", forward_answer_grant { call_id { 4 } } }, { "ping", ping_message { 1 } },
         { "pong", pong_message { 2 } },
         { "heartbeat",
             heartbeat_message { 8, at(5), incarnation_id { 6 },
--- a/test/knapweedcroft/wire/limits.cpp
+++ b/test/knapweedcroft/wire/limits.cpp
@@ -180,7 +180,7 @@
 [[nodiscard]] hello_message makeHello(message_generator& make)
 {
     return hello_message { "n" + make.text(), incarnation_id { UINT64_MAX }, make.text(), make.text(), make.text(),
-        make.number(), make.number() };
+        make.number(), make.number(), make.boolean() };
 }
 
 [[nodiscard]] upstream_status_message makeStatus(message_generator& make)
@@ -235,7 +235,11 @@
         [](message_generator& make) {
             return forward_offer { make.id(), make.text(), UINT64_MAX };
         },
-        [](message_generator& make) { return forward_grant { make.id() }; } };
+        [](message_generator& make) { return forward_grant { make.id() }; },
+        [](message_generator& make) {
+            return forward_answer_offer { make.id(), UINT64_MAX };
+        },
+        [](message_generator& make) { return forward_answer_grant { make.id() }; } };
 }
 
 } // namespace
