Check the share of responses after large answers only

Each answer to another node went through all links to sum up what waits there. Short answers do not wait, so they change nothing in that sum.

--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -323,7 +323,9 @@
 void gateway_runtime::perform(send_to_peer& action)
 {
     m_hub.send(action);
-    if (std::holds_alternative<forward_answer>(action.message))
+    const forward_answer* answer = std::get_if<forward_answer>(&action.message);
+    const opaque_response* response = answer == nullptr ? nullptr : std::get_if<opaque_response>(&answer->outcome);
+    if (response != nullptr && response->body.size() > maxUnofferedBytes)
         limitResponses();
     if (const cancel_message* cancel = std::get_if<cancel_message>(&action.message))
         m_answerRoom.remove(action.peer, cancel->id);
