Keep the serving upstream when an unknown one says that it leaves

Cause: without start times, an identifier that the process does not know counts as a successor, so the late announcement replaced the upstream that the record named, and that one's own announcements were ignored as those of a former upstream.

Change: an unknown upstream that leaves does not replace one that serves; its leave is recorded as before.

Not played with real processes.

--- a/src/knapweedcroft/gateway/upstream_registry.cpp
+++ b/src/knapweedcroft/gateway/upstream_registry.cpp
@@ -87,8 +87,11 @@
     if (!isCurrent) {
         // Without start times the order is unknown. A former upstream that still announces itself while the present one
         // is silent was replaced by a late announcement.
+        // A process that has started since does not know the former ones; one that leaves takes no other one's place.
         const bool isFormer = m_formerUpstreams.count(announcement.incarnation.id) != 0;
-        return announcement.incarnation.startedAt == 0 && isFormer && m_state.state() != upstream_chart_state::silent;
+        const bool isLeavingBesideAnother = isServing() && announcement.state == upstream_state::draining;
+        return announcement.incarnation.startedAt == 0 && (isFormer || isLeavingBesideAnother)
+            && m_state.state() != upstream_chart_state::silent;
     }
     if (announcement.sequence > m_current->sequence)
         return false;
--- a/test/knapweedcroft/gateway/upstream_registry.cpp
+++ b/test/knapweedcroft/gateway/upstream_registry.cpp
@@ -176,4 +176,32 @@
     EXPECT_TRUE(m_registry.leave("a", at(4), 200));
 }
 
+// Guards against a late announcement of a crashed upstream that says it leaves: after a restart of this process it took
+// the place of its successor, whose own announcements were then ignored as those of a former upstream (RECOVER).
+TEST_F(upstream_registry_test, KeepsASuccessorWhenItsPredecessorLeavesLate)
+{
+    ASSERT_TRUE(m_registry.restore(announcement("successor", 0, 0), at(1)));
+    upstream_announcement late = announcement("crashed", 0, 40);
+    late.state = upstream_state::draining;
+    EXPECT_EQ(m_registry.announce(late, at(2)), announcement_result::stale);
+    EXPECT_TRUE(m_registry.isServing());
+    for (std::int64_t sequence = 7; sequence <= 9; ++sequence)
+        EXPECT_NE(
+            m_registry.announce(announcement("successor", 0, sequence), at(sequence)), announcement_result::stale);
+    EXPECT_EQ(m_registry.current()->incarnation.id, "successor");
+    EXPECT_TRUE(m_registry.isServing());
+}
+
+// Guards against the opposite: an upstream whose predecessor has fallen silent is taken at its first word.
+TEST_F(upstream_registry_test, TakesALeavingUpstreamAfterASilentOne)
+{
+    ASSERT_TRUE(m_registry.restore(announcement("silent", 0, 0), at(1)));
+    ASSERT_TRUE(m_registry.poll(at(6000)));
+    upstream_announcement leaving = announcement("present", 0, 3);
+    leaving.state = upstream_state::draining;
+    EXPECT_EQ(m_registry.announce(leaving, at(6001)), announcement_result::changed);
+    EXPECT_EQ(m_registry.current()->incarnation.id, "present");
+    EXPECT_TRUE(m_registry.isLeaving());
+}
+
 } // namespace knapweedcroft
