--- a/src/knapweedcroft/gateway/answer_room.cpp
+++ b/src/knapweedcroft/gateway/answer_room.cpp
@@ -19,6 +19,8 @@
 
 void answer_room::remove(const node_name& node, call_id call)
 {
+    if (m_granted.empty() && m_waiting.empty())
+        return;
     const answer_key key { node, call };
     const auto granted = m_granted.find(key);
     if (granted != m_granted.end()) {
--- a/src/knapweedcroft/gateway/gateway_runtime.cpp
+++ b/src/knapweedcroft/gateway/gateway_runtime.cpp
@@ -154,6 +154,8 @@
 
 void gateway_runtime::grantAnswers()
 {
+    if (m_answerRoom.waitingCount() == 0)
+        return;
     for (const answer_grant& grant : m_answerRoom.takeGrants(m_server.responseBytes(), m_clock.now()))
         m_hub.send(send_to_peer { grant.node, forward_answer_grant { grant.call } });
 }
--- a/src/knapweedcroft/gateway/origin_requests.cpp
+++ b/src/knapweedcroft/gateway/origin_requests.cpp
@@ -114,8 +114,7 @@
             continue;
         const std::uint64_t id = position->second;
         origin_request& request = m_requests.at(id);
-        m_upstreamSelector.recordEnd(request.node, request.entry->name, std::nullopt, now);
-        actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+        cancelAtNode(id, now, actions);
         request.mayHaveRun = request.mayHaveRun || !request.isOffered;
         request.reason = refusal_reason::draining;
         refuse(id, now, actions);
@@ -383,6 +382,13 @@
     remove(id);
 }
 
+void origin_requests::cancelAtNode(std::uint64_t id, time_point now, gateway_actions& actions)
+{
+    const origin_request& request = m_requests.at(id);
+    m_upstreamSelector.recordEnd(request.node, request.entry->name, std::nullopt, now);
+    actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+}
+
 void origin_requests::remove(std::uint64_t id)
 {
     const auto position = m_requests.find(id);
@@ -400,8 +406,7 @@
     const origin_request& request = m_requests.at(id);
     ++m_counters.abandoned;
     log(log_level::debug, "request_abandoned", request, { { "node", request.node } }, now, actions);
-    m_upstreamSelector.recordEnd(request.node, request.entry->name, std::nullopt, now);
-    actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+    cancelAtNode(id, now, actions);
     remove(id);
 }
 
@@ -451,8 +456,7 @@
         const origin_request& request = m_requests.at(id);
         ++m_counters.timedOut;
         log(log_level::info, "request_timed_out", request, { { "node", request.node } }, now, actions);
-        m_upstreamSelector.recordEnd(request.node, request.entry->name, std::nullopt, now);
-        actions.emplace_back(send_to_peer { request.node, cancel_message { call_id { id } } });
+        cancelAtNode(id, now, actions);
         respond(id, internal::makeAnswer(504, "timed_out", "no answer in time; it may have run", {}), actions);
     }
 }
--- a/src/knapweedcroft/gateway/origin_requests.hpp
+++ b/src/knapweedcroft/gateway/origin_requests.hpp
@@ -159,6 +159,7 @@
     void handleFailure(std::uint64_t id, const std::string& cause, time_point now, gateway_actions& actions);
     void refuse(std::uint64_t id, time_point now, gateway_actions& actions);
     void respond(std::uint64_t id, local_answer answer, gateway_actions& actions);
+    void cancelAtNode(std::uint64_t id, time_point now, gateway_actions& actions);
     void remove(std::uint64_t id);
     void log(log_level level, std::string event, const origin_request& request,
         std::vector<std::pair<std::string, std::string>> fields, time_point now, gateway_actions& actions) const;
--- a/src/knapweedcroft/http/pipelined_server.cpp
+++ b/src/knapweedcroft/http/pipelined_server.cpp
@@ -52,35 +52,25 @@
             entry.shouldClose = shouldClose || !entry.isKeepAlive;
             entry.response = std::move(response);
             entry.responseBytes = entry.response.body.size();
-            addBufferedBytes(entry.responseBytes);
-            m_responseBytes += entry.responseBytes;
-            m_server.m_responseBytes += entry.responseBytes;
+            addResponseBytes(entry.responseBytes);
             entry.isAnswered = true;
             break;
         }
         flush();
     }
 
-    // Adds the unanswered requests in front of the last answer that is ready.
-    void addBlockingRequests(std::vector<std::uint64_t>& requestIds) const
+    // Adds all unanswered requests, or only those in front of an answer that is ready.
+    void addUnansweredRequests(bool isBlockingOnly, std::vector<std::uint64_t>& requestIds) const
     {
         bool isAnswerBehind = false;
         for (auto position = m_pipeline.rbegin(); position != m_pipeline.rend(); ++position) {
             if (position->isAnswered)
                 isAnswerBehind = true;
-            else if (isAnswerBehind)
+            else if (isAnswerBehind || !isBlockingOnly)
                 requestIds.push_back(position->id);
         }
     }
 
-    void addUnansweredRequests(std::vector<std::uint64_t>& requestIds) const
-    {
-        for (const pipelined_request& entry : m_pipeline) {
-            if (!entry.isAnswered)
-                requestIds.push_back(entry.id);
-        }
-    }
-
     [[nodiscard]] bool isIdle() const
     {
         return m_pipeline.empty() && !m_isReading && !m_hasStoppedReading
@@ -125,6 +115,20 @@
         m_server.m_bufferedBytes -= bytes;
     }
 
+    void addResponseBytes(std::size_t bytes)
+    {
+        addBufferedBytes(bytes);
+        m_responseBytes += bytes;
+        m_server.m_responseBytes += bytes;
+    }
+
+    void subtractResponseBytes(std::size_t bytes)
+    {
+        subtractBufferedBytes(bytes);
+        m_responseBytes -= bytes;
+        m_server.m_responseBytes -= bytes;
+    }
+
     void read()
     {
         evbuffer* input = bufferevent_get_input(m_stream.get());
@@ -348,11 +352,8 @@
         if (evbuffer_get_length(bufferevent_get_output(stream)) > 0)
             return;
         bufferevent_disable(stream, EV_WRITE);
-        for (const std::size_t bytes : self.m_unflushedSizes) {
-            self.subtractBufferedBytes(bytes);
-            self.m_responseBytes -= bytes;
-            self.m_server.m_responseBytes -= bytes;
-        }
+        for (const std::size_t bytes : self.m_unflushedSizes)
+            self.subtractResponseBytes(bytes);
         self.m_unflushedSizes.clear();
         if (self.m_hasWrittenLast)
             self.startLingeringClose();
@@ -440,20 +441,11 @@
         position->second->answer(requestId, std::move(response), shouldClose);
 }
 
-std::vector<std::uint64_t> pipelined_server::blockingRequests() const
-{
-    std::vector<std::uint64_t> requestIds;
-    for (const std::pair<connection* const, std::unique_ptr<connection>>& item : m_connections)
-        item.second->addBlockingRequests(requestIds);
-    std::sort(requestIds.begin(), requestIds.end());
-    return requestIds;
-}
-
-std::vector<std::uint64_t> pipelined_server::pendingRequests() const
+std::vector<std::uint64_t> pipelined_server::unansweredRequests(bool isBlockingOnly) const
 {
     std::vector<std::uint64_t> requestIds;
     for (const std::pair<connection* const, std::unique_ptr<connection>>& item : m_connections)
-        item.second->addUnansweredRequests(requestIds);
+        item.second->addUnansweredRequests(isBlockingOnly, requestIds);
     std::sort(requestIds.begin(), requestIds.end());
     return requestIds;
 }
--- a/src/knapweedcroft/http/pipelined_server.hpp
+++ b/src/knapweedcroft/http/pipelined_server.hpp
@@ -89,10 +89,10 @@
     void startDraining() { m_isDraining = true; }
 
     /** @brief Returns the unanswered requests of each connection behind which an answer is ready. */
-    [[nodiscard]] std::vector<std::uint64_t> blockingRequests() const;
+    [[nodiscard]] std::vector<std::uint64_t> blockingRequests() const { return unansweredRequests(true); }
 
     /** @brief Returns all unanswered requests. */
-    [[nodiscard]] std::vector<std::uint64_t> pendingRequests() const;
+    [[nodiscard]] std::vector<std::uint64_t> pendingRequests() const { return unansweredRequests(false); }
 
     /** @brief Closes the connections that have no unanswered, no partly received request and no unsent response. */
     void closeIdle();
@@ -117,6 +117,7 @@
     void accept(evutil_socket_t socket);
     void removeConnection(connection* ended);
     void resumeReading(connection* target);
+    [[nodiscard]] std::vector<std::uint64_t> unansweredRequests(bool isBlockingOnly) const;
 
     event_loop& m_loop;
     pipelined_server_limits m_limits;
--- a/src/knapweedcroft/wire/limits.cpp
+++ b/src/knapweedcroft/wire/limits.cpp
@@ -23,7 +23,8 @@
     void operator()(const call_request& value)
     {
         text("entry", value.entry);
-        text("key", value.key.value_or(std::string {}));
+        if (value.key)
+            text("key", *value.key);
         text("content_type", value.contentType);
     }
     void operator()(const call_answer& value)
--- a/src/knapweedcroft/wire/substitutes.cpp
+++ b/src/knapweedcroft/wire/substitutes.cpp
@@ -36,8 +36,8 @@
 
 bool concernsCall(const message_subject& subject)
 {
-    return subject.kind == "call" || subject.kind == "answer" || subject.kind == "fwd" || subject.kind == "fwd_ans"
-        || subject.kind == "fwd_offer" || subject.kind == "fwd_grant" || subject.kind == "fwd_ans_offer";
+    const message_subject named { subject.kind, call_id {} };
+    return refuseUntransferred(named).has_value() || failUntransferred(named).has_value();
 }
 
 std::optional<peer_message> refuseUntransferred(const message_subject& subject)
